Add a lean edge program that serves callers on the users' platform

Cause: nothing of ibismount ran on the platform's VMs. The new program has its own view of routes and backend servers, a sans-I/O gathering of parts, a placement by observed latency, a pool of connections and a budget for extra requests; ibismount/platform/ alone knows the platform's names.

The former module platform.py is now object_store.py.

Not yet: peers, tests, lint.

--- a/ibismount/_commit.py
+++ b/ibismount/_commit.py
@@ -10,7 +10,7 @@
 from ibismount.config import Change, ChangeKind, ConfigState
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.logs import part_logger
-from ibismount.platform import PlatformError
+from ibismount.object_store import PlatformError
 
 __all__ = (
     'Commit',
--- a/ibismount/booking.py
+++ b/ibismount/booking.py
@@ -14,7 +14,7 @@
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.logs import part_logger
-from ibismount.platform import Platform, PlatformError, StoredObject
+from ibismount.object_store import Platform, PlatformError, StoredObject
 
 __all__ = (
     'BookingDesk',
--- a/ibismount/changelog.py
+++ b/ibismount/changelog.py
@@ -21,7 +21,7 @@
 from ibismount.config import Change, ChangeKind, ConfigState
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.logs import part_logger
-from ibismount.platform import Platform, PlatformError, StoredObject
+from ibismount.object_store import Platform, PlatformError, StoredObject
 
 __all__ = (
     'ChangeLog',
--- /dev/null
+++ b/ibismount/edge.py
@@ -0,0 +1,259 @@
+"""The program that runs on each entry VM: ``python -m ibismount.edge``."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+from ibismount.caller_server import CallerConnection, CallerSite, RawRequest
+from ibismount.change_feed import ChangeFeed
+from ibismount.edge_dispatch import EdgeDispatch, Job
+from ibismount.edge_settings import EdgeSettings, load_settings
+from ibismount.errors import ErrorCode, FindingsError
+from ibismount.fleet import Fleet
+from ibismount.logs import configure_logs, part_logger
+from ibismount.placement import Placement
+from ibismount.platform.feed import PlatformFeed
+from ibismount.platform.store import Store
+from ibismount.platform.wire import (
+    READINESS_PATH,
+    RESOLVE_PATH,
+    PlatformWire,
+    encode_addresses,
+    encode_status,
+    read_resolve,
+)
+from ibismount.routes import CallerLimits
+from ibismount.server_pool import ServerPool
+from ibismount.traffic_budget import BudgetOptions, TrafficBudget
+from ibismount.wire_format import Outcome, RequestError, WireFormat
+
+__all__ = ('Edge', 'main', 'make_edge')
+
+log = part_logger('edge')
+
+# Nodes that are assumed to share each server while peers are not known.
+NODES_UNKNOWN = 20
+# Time for which callers keep an address list, in seconds: short, so that they
+# soon leave a node that ended.
+ADDRESS_KEEP_S = 1.0
+# Part of the grace period after which the process ends by itself.
+GRACE_USED = 0.85
+# A leaving node closes idle connections after this time, in seconds: callers
+# have by then fetched an address list without it.
+IDLE_CLOSE_S = 3.2
+BACKLOG = 512  # connections that wait to be accepted
+
+
+class _ServingSite(CallerSite):
+    """Serves requests of callers."""
+
+    def __init__(self, edge: 'Edge') -> None:
+        """Serve for one node."""
+        super().__init__()
+        self._edge = edge
+        self._wire: WireFormat = edge.wire
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits of the configuration in force."""
+        return self._edge.fleet.table.limits
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the node is shutting down."""
+        return self._edge.leaving
+
+    def handle(self, raw: RawRequest, conn: CallerConnection) -> Job | None:
+        """Dispatch a request."""
+        try:
+            req = self._wire.read_request(
+                raw.method, raw.target, raw.headers, raw.body
+            )
+        except RequestError as exc:
+            conn.answer(self._wire.encode_error(exc.code), last=True)
+            return None
+
+        def end(outcome: Outcome) -> None:
+            last = conn.last_answer
+            conn.answer(self._wire.encode_outcome(outcome, last=last))
+
+        return self._edge.dispatch.submit(req, end)
+
+    def encode_error(self, code: ErrorCode) -> bytes:
+        """Encode the refusal of a request that can't be read."""
+        return self._wire.encode_error(code)
+
+
+class _StatusSite(CallerSite):
+    """Answers readiness checks and callers that ask for addresses."""
+
+    def __init__(self, edge: 'Edge') -> None:
+        """Answer for one node."""
+        super().__init__()
+        self._edge = edge
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return fixed limits."""
+        return CallerLimits()
+
+    def handle(self, raw: RawRequest, conn: CallerConnection) -> None:
+        """Answer at once."""
+        path = raw.target.partition(b'?')[0]
+        if path == RESOLVE_PATH:
+            _, zone = read_resolve(raw.target)
+            addresses = self._edge.addresses(zone)
+            status = encode_addresses(addresses, ADDRESS_KEEP_S)
+            conn.answer(status if addresses else encode_status(503))
+        elif path == READINESS_PATH:
+            conn.answer(encode_status(200 if self._edge.serving else 503))
+        else:
+            conn.answer(encode_status(404))
+
+    def encode_error(self, code: ErrorCode) -> bytes:
+        """Encode the refusal of a request that can't be read."""
+        return self._edge.wire.encode_error(code)
+
+
+class Edge:
+    """One node: its view, its dispatch and its listeners."""
+
+    def __init__(self, cfg: EdgeSettings, rng: random.Random) -> None:
+        """Build the parts; nothing runs yet."""
+        self.cfg = cfg
+        self.leaving = False
+        self.wire = PlatformWire()
+        loop = asyncio.get_running_loop()
+        self.fleet = Fleet(loop.time)
+        host, _, port = cfg.store.address.rpartition(':')
+        self.store = Store(host, int(port))
+        self.feed = ChangeFeed(
+            PlatformFeed(self.store),
+            self.fleet.apply,
+            now=loop.time,
+            rng=rng,
+        )
+        self.pool = ServerPool()
+        self.dispatch = EdgeDispatch(
+            fleet=self.fleet,
+            placement=Placement(cfg.node.zone, rng),
+            pool=self.pool,
+            budget=TrafficBudget(
+                BudgetOptions(
+                    ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
+                ),
+                self.node_count,
+            ),
+            wire=self.wire,
+            rng=rng,
+            node_count=self.node_count,
+        )
+        self._serving_site = _ServingSite(self)
+        self._status_site = _StatusSite(self)
+        self._listeners: list[asyncio.Server] = []
+        self._ended = asyncio.Event()
+
+    @property
+    def serving(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.fleet.ready and not self.leaving
+
+    def node_count(self) -> int:
+        """Return the number of nodes that share each server."""
+        return NODES_UNKNOWN
+
+    def addresses(self, zone: str) -> list[str]:
+        """Return the addresses that a caller may use."""
+        return [self.cfg.listen.callers] if self.serving else []
+
+    async def run(self) -> None:
+        """Serve until a signal ends the process."""
+        await self._listen(self.cfg.listen.callers, self._serving_site)
+        await self._listen(self.cfg.listen.directory, self._status_site)
+        await self._listen(self.cfg.listen.readiness, self._status_site)
+        self.feed.start()
+        housekeeping = asyncio.create_task(self._housekeep())
+        log.info('started', extra={'node': self.cfg.node.name})
+        await self._ended.wait()
+        housekeeping.cancel()
+        self.feed.stop()
+        log.info('stopped', extra={'outcomes': self.dispatch.outcomes})
+
+    def begin_leaving(self) -> None:
+        """Stop being handed out; finish what is under way, then end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        log.info('leaving', extra={'under_way': len(self.dispatch.jobs)})
+        self._leaving_task = asyncio.create_task(self._leave())
+
+    async def _leave(self) -> None:
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + self.cfg.bounds.grace_s * GRACE_USED
+        idle_at = min(loop.time() + IDLE_CLOSE_S, end_at)
+        while loop.time() < end_at:
+            if loop.time() >= idle_at:
+                for conn in list(self._serving_site.connections):
+                    if not conn.busy and not conn.reading:
+                        conn.close()
+                if not self._serving_site.connections:
+                    break
+            await asyncio.sleep(_LEAVE_POLL_S)
+        self._ended.set()
+
+    async def _listen(self, address: str, site: CallerSite) -> None:
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(site), host, int(port), backlog=BACKLOG
+        )
+        self._listeners.append(server)
+
+    async def _housekeep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            for server in self.fleet.servers.expire(loop.time()):
+                log.info('server gone', extra={'server': server.id})
+                self.dispatch.placement.forget(server.id)
+
+
+# How often a leaving node looks for idle connections, in seconds.
+_LEAVE_POLL_S = 0.1
+# How often removals that were delayed are carried out, in seconds.
+_HOUSEKEEPING_S = 0.25
+
+
+def make_edge(cfg: EdgeSettings) -> Edge:
+    """Build a node from its settings, inside a running event loop."""
+    return Edge(cfg, random.Random(f'{cfg.node.name}{os.getpid()}'))
+
+
+async def _serve(cfg: EdgeSettings) -> None:
+    edge = make_edge(cfg)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, edge.begin_leaving)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: log.info('settings changed')
+    )
+    await edge.run()
+
+
+def main() -> int:
+    """Run one node; the first argument is the settings file."""
+    path = sys.argv[1] if len(sys.argv) > 1 else ''
+    try:
+        cfg = load_settings(path)
+    except FindingsError as exc:
+        for finding in exc.findings:
+            sys.stderr.write(f'{finding}\n')
+        return 2
+    configure_logs('info', node_id=cfg.node.name)
+    asyncio.run(_serve(cfg))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/ibismount/errors.py
+++ b/ibismount/errors.py
@@ -54,6 +54,11 @@
     REQUEST_ID_EXPIRED = 'request_id_expired'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     CANCELLED = 'cancelled'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    REQUEST_TOO_SLOW = 'request_too_slow'
+    UNKNOWN_ROUTE = 'unknown_route'
+    NOT_READY = 'not_ready'
+    SERVICE_FAILED = 'service_failed'
 
 
 class IbismountError(Exception):
--- /dev/null
+++ b/ibismount/fleet.py
@@ -0,0 +1,196 @@
+"""One node's view of routes, backend servers and zones out of service."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from ibismount.routes import RouteTable, empty_table
+from ibismount.servers import Server, ServerTable
+
+__all__ = (
+    'Change',
+    'Fleet',
+    'ServerChanged',
+    'ServerRemoved',
+    'ServersListed',
+    'ZoneChanged',
+    'ZonesListed',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerChanged:
+    """A backend server registered or changed its entry."""
+
+    server: Server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRemoved:
+    """An entry was removed; its loss is believed after a delay."""
+
+    server_id: str
+    revision: int
+    delay_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersListed:
+    """A complete list of entries at one revision."""
+
+    servers: tuple[Server, ...]
+    revision: int
+    delay_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneChanged:
+    """An availability zone was taken out of service, or back."""
+
+    zone: str
+    out: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesListed:
+    """All availability zones that get no work, at one revision."""
+
+    zones: tuple[str, ...]
+    revision: int
+
+
+Change = (
+    ServerChanged
+    | ServerRemoved
+    | ServersListed
+    | ZoneChanged
+    | ZonesListed
+    | RouteTable
+)
+
+
+class Fleet:
+    """Merge changes from the store and from peers; the newest wins.
+
+    Args:
+        now: Clock in seconds.
+        on_change: Called with each change that was taken.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        on_change: Callable[[Change], None] | None = None,
+    ) -> None:
+        """Start with nothing known."""
+        self._now = now
+        self._on_change = on_change
+        self.table: RouteTable = empty_table()
+        self.servers = ServerTable()
+        self.zones_out: frozenset[str] = frozenset()
+        self.zones_revision = 0
+        # Revision of the newest complete list, or of a later change.
+        self.servers_revision = 0
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether requests can be served."""
+        return bool(self.table.version) and bool(self.servers_revision)
+
+    def apply(self, change: Change) -> bool:
+        """Take a change; return whether it was news."""
+        taken = _APPLY[type(change)](self, change)
+        if taken and self._on_change is not None:
+            self._on_change(change)
+        return taken
+
+    def cold_ids(self, servers: Iterable[Server]) -> set[str]:
+        """Return the ids of those servers that are cold."""
+        now = self._now()
+        return {
+            one.id for one in servers if self.servers.is_cold(one.id, now)
+        }
+
+    def state(self) -> list[Change]:
+        """Return changes that bring an empty view to this one."""
+        changes: list[Change] = []
+        if self.servers_revision:
+            changes.append(
+                ServersListed(
+                    tuple(self.servers.all_servers()), self.servers_revision
+                )
+            )
+        if self.zones_revision:
+            changes.append(
+                ZonesListed(tuple(self.zones_out), self.zones_revision)
+            )
+        if self.table.version:
+            changes.append(self.table)
+        return changes
+
+    def _take_table(self, table: RouteTable) -> bool:
+        if table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
+
+    def _take_server(self, change: ServerChanged) -> bool:
+        self._note_revision(change.server.revision)
+        return self.servers.put(self._now(), change.server)
+
+    def _take_removal(self, change: ServerRemoved) -> bool:
+        self._note_revision(change.revision)
+        known = self.servers.get(change.server_id) is not None
+        removed = self.servers.remove(
+            self._now(),
+            change.server_id,
+            change.revision,
+            delay_s=change.delay_s,
+        )
+        return removed or (known and bool(change.delay_s))
+
+    def _take_list(self, change: ServersListed) -> bool:
+        if change.revision < self.servers_revision:
+            # Still good for entries that this view has not heard of.
+            news = [
+                self.servers.put(self._now(), one) for one in change.servers
+            ]
+            return any(news)
+        self._note_revision(change.revision)
+        self.servers.replace(
+            self._now(),
+            change.servers,
+            change.revision,
+            delay_s=change.delay_s,
+        )
+        return True
+
+    def _take_zone(self, change: ZoneChanged) -> bool:
+        if change.revision <= self.zones_revision:
+            return False
+        self.zones_revision = change.revision
+        known = self.zones_out
+        zone = frozenset((change.zone,))
+        self.zones_out = known | zone if change.out else known - zone
+        return self.zones_out != known
+
+    def _take_zones(self, change: ZonesListed) -> bool:
+        if change.revision <= self.zones_revision:
+            return False
+        self.zones_revision = change.revision
+        known = self.zones_out
+        self.zones_out = frozenset(change.zones)
+        return self.zones_out != known
+
+    def _note_revision(self, revision: int) -> None:
+        self.servers_revision = max(self.servers_revision, revision)
+
+
+_APPLY = {
+    RouteTable: Fleet._take_table,
+    ServerChanged: Fleet._take_server,
+    ServerRemoved: Fleet._take_removal,
+    ServersListed: Fleet._take_list,
+    ZoneChanged: Fleet._take_zone,
+    ZonesListed: Fleet._take_zones,
+}
--- a/ibismount/hedging.py
+++ b/ibismount/hedging.py
@@ -74,7 +74,8 @@
         self._counts = [[0] * (len(_BOUNDS) + 1) for _ in range(slices)]
         self._totals = [0] * slices
         self._epochs = [-1] * slices
-        self._cached: tuple[float, float, float | None] = (-1, 0, None)
+        # Each fraction with the time until which its quantile is kept.
+        self._cached: dict[float, tuple[float, float | None]] = {}
 
     def record(self, now: float, latency_s: float) -> None:
         """Add one observation."""
@@ -95,12 +96,12 @@
             The upper bound of the bucket, or None while there are too few
             observations.
         """
-        until, cached_fraction, found = self._cached
-        if now < until and cached_fraction == fraction:
+        until, found = self._cached.get(fraction, (-1, None))
+        if now < until:
             return found
         found = self._compute(now, fraction)
         # A tenth of a slice is fresh enough and saves the sum per request.
-        self._cached = (now + self._slice_s / 10, fraction, found)
+        self._cached[fraction] = (now + self._slice_s / 10, found)
         return found
 
     def _compute(self, now: float, fraction: float) -> float | None:
--- a/ibismount/parts.py
+++ b/ibismount/parts.py
@@ -16,7 +16,7 @@
 from ibismount.logs import part_logger
 from ibismount.messages import Envelope, Join
 from ibismount.node import GatewayView, Node, boot_time
-from ibismount.platform import Platform, PlatformError
+from ibismount.object_store import Platform, PlatformError
 from ibismount.ports import LinkPorts
 from ibismount.roster import Member
 from ibismount.template import MAX_DEADLINE_S
--- /dev/null
+++ b/ibismount/platform/documents.py
@@ -0,0 +1,187 @@
+"""Decode the objects of the platform's store into the product's values.
+
+Entries may come from writers that know the layout badly, so each is checked
+as a whole: what can't be read is reported to the caller and names nothing.
+"""
+
+from typing import Any, Literal
+
+import msgspec
+
+from ibismount.routes import (
+    CallerLimits,
+    Route,
+    RouteTable,
+    Service,
+    WeightedService,
+)
+from ibismount.servers import Server
+
+__all__ = (
+    'CONFIG_KIND',
+    'CONFIG_NAME',
+    'EVACUATION_KIND',
+    'SERVER_KIND',
+    'DocumentError',
+    'decode_server',
+    'decode_table',
+)
+
+CONFIG_KIND = 'config'
+CONFIG_NAME = 'main'
+SERVER_KIND = 'servers'
+EVACUATION_KIND = 'evacuations'
+
+_MS = 0.001
+
+
+class DocumentError(ValueError):
+    """Tell which object can't be read, and why."""
+
+
+class _ServerDoc(msgspec.Struct, rename='kebab'):
+    # ``backend`` names the service; the server itself is the object's name.
+    backend: str
+    address: str
+    zone: str
+    version: str
+    max_concurrency: int
+    state: Literal['ready', 'draining']
+    cold_remaining_ms: float
+    sequence: int
+    # Unix milliseconds of the server's start.
+    born: int = 0
+
+
+class _SplitDoc(msgspec.Struct, rename='kebab'):
+    backend: str
+    weight: float
+
+
+class _RouteDoc(msgspec.Struct, rename='kebab'):
+    name: str
+    hostname: str
+    path_prefix: str
+    # ``type`` is what may be repeated.
+    type: Literal['idempotent', 'non_idempotent']
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    # Backend servers that may run one caller attempt, for each shard.
+    attempts: int = 1
+    backend: str | None = None
+    traffic_split: list[_SplitDoc] = []
+    fanout_services: list[str] = []
+    top_k: int = 0
+    min_shard_ratio: float = 1
+
+
+class _ServiceDoc(msgspec.Struct, rename='kebab'):
+    name: str
+    health_check_path: str = ''
+    max_connections: int = 1
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+
+
+class _LimitsDoc(msgspec.Struct, rename='kebab'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _ConfigDoc(msgspec.Struct, rename='kebab'):
+    version: int
+    routes: list[_RouteDoc]
+    backends: list[_ServiceDoc]
+    limits: _LimitsDoc = msgspec.field(default_factory=_LimitsDoc)
+
+
+def decode_server(name: str, revision: int, spec: Any) -> Server:
+    """Decode a backend server's entry.
+
+    Args:
+        name: The object's name, which is the server's id.
+        revision: The object's revision.
+        spec: The object's content.
+
+    Raises:
+        DocumentError: The entry names no server to use.
+    """
+    try:
+        doc = msgspec.convert(spec, _ServerDoc)
+        host, _, port = doc.address.rpartition(':')
+        return Server(
+            id=name,
+            service=doc.backend,
+            host=host,
+            port=int(port),
+            zone=doc.zone,
+            slots=max(1, doc.max_concurrency),
+            leaving=doc.state == 'draining',
+            cold_s=max(0, doc.cold_remaining_ms) * _MS,
+            incarnation=doc.born,
+            revision=revision,
+        )
+    except (msgspec.ValidationError, ValueError) as exc:
+        raise DocumentError(f'{SERVER_KIND}/{name}: {exc}') from exc
+
+
+def decode_table(spec: Any) -> RouteTable:
+    """Decode a version of the configuration.
+
+    Raises:
+        DocumentError: The version can't be used.
+    """
+    try:
+        doc = msgspec.convert(spec, _ConfigDoc)
+        return RouteTable(
+            version=doc.version,
+            routes=tuple(_route(one) for one in doc.routes),
+            services={one.name: _service(one) for one in doc.backends},
+            limits=_limits(doc.limits),
+        )
+    except (msgspec.ValidationError, ValueError) as exc:
+        raise DocumentError(f'{CONFIG_KIND}/{CONFIG_NAME}: {exc}') from exc
+
+
+def _route(doc: _RouteDoc) -> Route:
+    services = tuple(
+        WeightedService(one.backend, one.weight) for one in doc.traffic_split
+    )
+    if doc.backend and not services:
+        services = (WeightedService(doc.backend),)
+    return Route(
+        name=doc.name,
+        host=doc.hostname,
+        prefix=doc.path_prefix,
+        idempotent=doc.type == 'idempotent',
+        timeout_s=doc.timeout_ms * _MS,
+        target_s=doc.target_latency_ms * _MS,
+        priority=doc.priority,
+        max_runs=max(1, doc.attempts),
+        services=services,
+        shards=tuple(doc.fanout_services),
+        top_k=doc.top_k,
+        least_share=doc.min_shard_ratio,
+    )
+
+
+def _service(doc: _ServiceDoc) -> Service:
+    return Service(
+        name=doc.name,
+        probe_path=doc.health_check_path,
+        max_connections=doc.max_connections,
+        cold_s=doc.cold_start_s,
+        cold_rate=doc.cold_per_s,
+    )
+
+
+def _limits(doc: _LimitsDoc) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=doc.max_header_bytes,
+        body_bytes=doc.max_body_bytes,
+        header_s=doc.header_timeout_ms * _MS,
+        idle_s=doc.idle_timeout_ms * _MS,
+    )
--- /dev/null
+++ b/ibismount/servers.py
@@ -0,0 +1,160 @@
+"""Table of backend servers that have registered themselves."""
+
+import dataclasses
+from collections.abc import Iterable
+
+__all__ = ('Server', 'ServerTable')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """One backend server, as it registered itself.
+
+    ``incarnation`` grows with each start under the same id; ``revision`` is
+    the store's revision of the entry. ``cold_s`` is how long the server was
+    expected to stay cold when the entry was written.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    leaving: bool = False
+    cold_s: float = 0
+    incarnation: int = 0
+    revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    server: Server
+    cold_until: float
+    # Set while the entry is missing but its loss is not yet believed.
+    gone_at: float | None = None
+
+
+class ServerTable:
+    """Know which backend servers of a service may get work.
+
+    An entry that vanishes while the store is disturbed may come back soon
+    after, so its removal can be delayed; the server keeps its work until
+    then.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._rows: dict[str, _Row] = {}
+        self._by_service: dict[str, dict[str, Server]] = {}
+        # Newest revision of removed entries; an older entry stays removed.
+        self._removed: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of known servers."""
+        return len(self._rows)
+
+    def of_service(self, service: str) -> Iterable[Server]:
+        """Return the servers of a service that may get work."""
+        return self._by_service.get(service, {}).values()
+
+    def get(self, server_id: str) -> Server | None:
+        """Return a server that is known, leaving ones too."""
+        row = self._rows.get(server_id)
+        return row.server if row else None
+
+    def all_servers(self) -> list[Server]:
+        """Return every known server."""
+        return [row.server for row in self._rows.values()]
+
+    def is_cold(self, server_id: str, now: float) -> bool:
+        """Tell whether a server is expected to be cold."""
+        row = self._rows.get(server_id)
+        return row is not None and now < row.cold_until
+
+    def put(self, now: float, server: Server) -> bool:
+        """Take an entry; return whether it changed the table."""
+        row = self._rows.get(server.id)
+        if row is None:
+            if server.revision <= self._removed.get(server.id, 0):
+                return False
+            self._rows[server.id] = _Row(server, now + server.cold_s)
+            self._index(server)
+            return True
+        row.gone_at = None
+        known = row.server
+        if server.revision <= known.revision:
+            return False
+        if server.incarnation < known.incarnation:
+            return False
+        self._unindex(known)
+        row.server = server
+        row.cold_until = now + server.cold_s
+        self._index(server)
+        return True
+
+    def remove(
+        self, now: float, server_id: str, revision: int, *, delay_s: float = 0
+    ) -> bool:
+        """Remove an entry, or believe its loss only after a delay."""
+        row = self._rows.get(server_id)
+        if row is None:
+            return False
+        if revision and revision < row.server.revision:
+            return False
+        if delay_s:
+            if row.gone_at is None:
+                row.gone_at = now + delay_s
+            return False
+        self._drop(server_id, revision)
+        return True
+
+    def replace(
+        self,
+        now: float,
+        servers: Iterable[Server],
+        revision: int,
+        *,
+        delay_s: float = 0,
+    ) -> list[Server]:
+        """Take a complete list of one revision; return what is new.
+
+        Entries that are newer than the list stay, since the list may be a
+        stale read.
+        """
+        present = {}
+        for server in servers:
+            present[server.id] = server
+        for server_id, row in list(self._rows.items()):
+            if server_id in present or row.server.revision > revision:
+                continue
+            self.remove(now, server_id, revision, delay_s=delay_s)
+        return [one for one in present.values() if self.put(now, one)]
+
+    def expire(self, now: float) -> list[Server]:
+        """Drop the servers whose loss is now believed; return them."""
+        expired = [
+            row.server
+            for row in self._rows.values()
+            if row.gone_at is not None and row.gone_at <= now
+        ]
+        for server in expired:
+            self._drop(server.id, server.revision)
+        return expired
+
+    def doubted(self) -> int:
+        """Return the number of servers whose entry is missing."""
+        return sum(row.gone_at is not None for row in self._rows.values())
+
+    def _drop(self, server_id: str, revision: int) -> None:
+        row = self._rows.pop(server_id)
+        self._unindex(row.server)
+        self._removed[server_id] = max(revision, row.server.revision)
+
+    def _index(self, server: Server) -> None:
+        if not server.leaving:
+            of_service = self._by_service.setdefault(server.service, {})
+            of_service[server.id] = server
+
+    def _unindex(self, server: Server) -> None:
+        self._by_service.get(server.service, {}).pop(server.id, None)
--- a/standins/_store.py
+++ b/standins/_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ibismount.errors import ErrorCode
-from ibismount.platform import Objects, PlatformError, StoredObject
+from ibismount.object_store import Objects, PlatformError, StoredObject
 
 __all__ = ('Faults', 'Meter', 'ObjectStore', 'RateMeter')
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,7 +17,7 @@
 from starlette.routing import Route
 
 from ibismount.errors import ErrorCode, IbismountError
-from ibismount.platform import Objects, PlatformError
+from ibismount.object_store import Objects, PlatformError
 from standins._store import Faults, Meter, ObjectStore, RateMeter
 
 __all__ = ('Faults', 'Meter', 'ObjectStore', 'PlatformApp', 'make_app', 'serve')
--- a/tests/scenario_world.py
+++ b/tests/scenario_world.py
@@ -24,7 +24,7 @@
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.messages import BatchRequest
 from ibismount.parts import make_parts
-from ibismount.platform import PlatformError
+from ibismount.object_store import PlatformError
 from ibismount.roster import Member
 from standins.platform import ObjectStore
 from tests import history as recorded
--- a/tests/test_booking.py
+++ b/tests/test_booking.py
@@ -15,7 +15,7 @@
     Outcome,
 )
 from ibismount.errors import ErrorCode
-from ibismount.platform import PlatformError
+from ibismount.object_store import PlatformError
 from tests.fakes import Explorer, MemoryPlatform, SteppedPlatform
 
 NOW = 1_800_000_000.0
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -18,7 +18,7 @@
 )
 from ibismount.config import ChangeKind, ConfigState
 from ibismount.errors import ErrorCode
-from ibismount.platform import PlatformError
+from ibismount.object_store import PlatformError
 from tests.fakes import Explorer, MemoryPlatform, SteppedPlatform
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ibismount.errors import ErrorCode
-from ibismount.platform import PlatformError, make_platform
+from ibismount.object_store import PlatformError, make_platform
 from standins.platform import ObjectStore, make_app, serve
 
 TOKEN = 'secret'
