Share one view of the store between nodes

Change: SWIM membership runs over datagrams, two nodes of a common rank follow the store and every node links to both of them; a node whose links are not current follows the store itself. Members and probes moved to lean modules so that the edge program does not load the roster's models. An equal list that comes back from a peer is no news: two sources echoed it for ever.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	touch $@
 
 test: setup
-	PYTHONHASHSEED=0 $(PY) -m pytest
+	PYTHONHASHSEED=0 $(PY) -m pytest -n auto
 
 demo: setup
 	$(PY) -m standins.demo
--- a/ibismount/_probes.py
+++ b/ibismount/_probes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from ibismount.messages import MemberStatus, PingReq
+from ibismount.probing import MemberStatus, PingReq
 
 __all__ = ('Probe', 'Record', 'Relay', 'RelayTable')
 
--- a/ibismount/_updates.py
+++ b/ibismount/_updates.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ibismount.messages import MemberStatus
+from ibismount.probing import MemberStatus
 
 __all__ = ('UpdateQueue', 'outranks')
 
--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -82,7 +82,8 @@
     before the next watch and an idle watch waits long.
     """
 
-    wait_s: float = 28.0
+    # Shorter than the history that the store keeps.
+    wait_s: float = 17.0
     gather_s: float = 0.25
     # Probes notice that the store is out of reach while watches are silent.
     probe_s: float = 0.8
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -5,14 +5,17 @@
 import random
 import signal
 import sys
+import time
 
 from ibismount.caller_server import CallerConnection, CallerSite, RawRequest
 from ibismount.change_feed import ChangeFeed
 from ibismount.edge_dispatch import EdgeDispatch, Job
 from ibismount.edge_settings import EdgeSettings, load_settings
 from ibismount.errors import ErrorCode, FindingsError
-from ibismount.fleet import Fleet
+from ibismount.fleet import Change, Fleet
 from ibismount.logs import configure_logs, part_logger
+from ibismount.member import Member
+from ibismount.peers import Peers
 from ibismount.placement import Placement
 from ibismount.platform.feed import PlatformFeed
 from ibismount.platform.store import Store
@@ -24,7 +27,7 @@
     encode_status,
     read_resolve,
 )
-from ibismount.routes import CallerLimits
+from ibismount.routes import CallerLimits, RouteTable
 from ibismount.server_pool import ServerPool
 from ibismount.traffic_budget import BudgetOptions, TrafficBudget
 from ibismount.wire_format import Outcome, RequestError, WireFormat
@@ -34,7 +37,11 @@
 log = part_logger('edge')
 
 # Nodes that are assumed to share each server while peers are not known.
-NODES_UNKNOWN = 20
+# The number is the size of the largest fleet of today.
+NODES_UNKNOWN = 128
+# Time after the start until the number of live peers is relied on, in seconds.
+SETTLE_S = 2.0
+ADDRESSES_MOST = 64  # addresses that one answer may hold
 # Time for which callers keep an address list, in seconds: short, so that they
 # soon leave a node that ended.
 ADDRESS_KEEP_S = 1.0
@@ -123,10 +130,11 @@
     def __init__(self, cfg: EdgeSettings, rng: random.Random) -> None:
         """Build the parts; nothing runs yet."""
         self.cfg = cfg
+        self._rng = rng
         self.leaving = False
         self.wire = PlatformWire()
         loop = asyncio.get_running_loop()
-        self.fleet = Fleet(loop.time)
+        self.fleet = Fleet(loop.time, self._on_change)
         host, _, port = cfg.store.address.rpartition(':')
         self.store = Store(host, int(port))
         self.feed = ChangeFeed(
@@ -135,6 +143,15 @@
             now=loop.time,
             rng=rng,
         )
+        own = _own_member(cfg)
+        self.peers = Peers(
+            own,
+            _seed_members(cfg, own),
+            fleet=self.fleet,
+            feed=self.feed,
+            rng=rng,
+        )
+        self._started_at = loop.time()
         self.pool = ServerPool()
         self.dispatch = EdgeDispatch(
             fleet=self.fleet,
@@ -162,18 +179,30 @@
 
     def node_count(self) -> int:
         """Return the number of nodes that share each server."""
-        return NODES_UNKNOWN
+        settled_at = self._started_at + SETTLE_S
+        if asyncio.get_running_loop().time() < settled_at:
+            return NODES_UNKNOWN
+        return self.peers.most_live()
 
     def addresses(self, zone: str) -> list[str]:
         """Return the addresses that a caller may use."""
-        return [self.cfg.listen.callers] if self.serving else []
+        found = [
+            one.api_address
+            for one in self.peers.members()
+            if one.api_address and one.id != self.cfg.node.ip
+        ]
+        if self.serving:
+            found.append(self.cfg.listen.callers)
+        if len(found) > ADDRESSES_MOST:
+            found = self._rng.sample(found, ADDRESSES_MOST)
+        return found
 
     async def run(self) -> None:
         """Serve until a signal ends the process."""
         await self._listen(self.cfg.listen.callers, self._serving_site)
         await self._listen(self.cfg.listen.directory, self._status_site)
         await self._listen(self.cfg.listen.readiness, self._status_site)
-        self.feed.start()
+        await self.peers.start()
         housekeeping = asyncio.create_task(self._housekeep())
         log.info('started', extra={'node': self.cfg.node.name})
         await self._ended.wait()
@@ -186,9 +215,15 @@
         if self.leaving:
             return
         self.leaving = True
+        self.peers.leave()
         log.info('leaving', extra={'under_way': len(self.dispatch.jobs)})
         self._leaving_task = asyncio.create_task(self._leave())
 
+    def _on_change(self, change: Change) -> None:
+        self.peers.spread(change)
+        if isinstance(change, RouteTable):
+            log.info('routes in force', extra={'version': change.version})
+
     async def _leave(self) -> None:
         loop = asyncio.get_running_loop()
         end_at = loop.time() + self.cfg.bounds.grace_s * GRACE_USED
@@ -215,6 +250,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
+            if self.serving:
+                self.peers.announce(self.cfg.listen.callers)
             for server in self.fleet.servers.expire(loop.time()):
                 log.info('server gone', extra={'server': server.id})
                 self.dispatch.placement.forget(server.id)
@@ -226,6 +263,35 @@
 _HOUSEKEEPING_S = 0.25
 
 
+def _own_member(cfg: EdgeSettings) -> Member:
+    # Ids are IP numbers: a machine that returns keeps its own, and seeds are
+    # named by them.
+    return Member(
+        id=cfg.node.ip,
+        incarnation=time.time_ns() // 1_000_000,
+        availability_zone=cfg.node.zone,
+        region=cfg.node.area,
+        link_address=f'{cfg.node.ip}:{cfg.node.peer_ports[0]}',
+        api_address='',
+    )
+
+
+def _seed_members(cfg: EdgeSettings, own: Member) -> list[Member]:
+    hosts = {seed.rpartition(':')[0] for seed in cfg.node.seeds}
+    hosts.discard(own.id)
+    return [
+        Member(
+            id=host,
+            incarnation=0,
+            availability_zone='',
+            region='',
+            link_address=f'{host}:{cfg.node.peer_ports[0]}',
+            api_address='',
+        )
+        for host in sorted(hosts)
+    ]
+
+
 def make_edge(cfg: EdgeSettings) -> Edge:
     """Build a node from its settings, inside a running event loop."""
     return Edge(cfg, random.Random(f'{cfg.node.name}{os.getpid()}'))
@@ -235,9 +301,7 @@
     edge = make_edge(cfg)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, edge.begin_leaving)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: log.info('settings changed')
-    )
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info('settings changed'))
     await edge.run()
 
 
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -228,9 +228,7 @@
         )
         if sending.pending is None:
             return False
-        sending.attempt = self.gathering.sent(
-            part, server.id, dispatch.now()
-        )
+        sending.attempt = self.gathering.sent(part, server.id, dispatch.now())
         self._open.add(sending)
         dispatch.placement.health(server).in_flight += 1
         return True
--- a/ibismount/edge_settings.py
+++ b/ibismount/edge_settings.py
@@ -1,6 +1,5 @@
 """Settings of the edge program, checked as a whole."""
 
-import dataclasses
 import pathlib
 from typing import Any, TypeVar
 
--- a/ibismount/fleet.py
+++ b/ibismount/fleet.py
@@ -107,9 +107,7 @@
     def cold_ids(self, servers: Iterable[Server]) -> set[str]:
         """Return the ids of those servers that are cold."""
         now = self._now()
-        return {
-            one.id for one in servers if self.servers.is_cold(one.id, now)
-        }
+        return {one.id for one in servers if self.servers.is_cold(one.id, now)}
 
     def state(self) -> list[Change]:
         """Return changes that bring an empty view to this one."""
@@ -156,14 +154,16 @@
                 self.servers.put(self._now(), one) for one in change.servers
             ]
             return any(news)
+        newer = change.revision > self.servers_revision
         self._note_revision(change.revision)
-        self.servers.replace(
+        changed = self.servers.replace(
             self._now(),
             change.servers,
             change.revision,
             delay_s=change.delay_s,
         )
-        return True
+        # An equal list that comes back from a peer must not be handed on.
+        return newer or changed
 
     def _take_zone(self, change: ZoneChanged) -> bool:
         if change.revision <= self.zones_revision:
--- a/ibismount/gathering.py
+++ b/ibismount/gathering.py
@@ -153,7 +153,9 @@
             return Decision.ANSWER
         enough = self.in_count >= self.plan.least_parts
         dead = sum(part.dead for part in self.parts)
-        if enough and (now >= self.plan.answer_at or self.in_count + dead == total):
+        if enough and (
+            now >= self.plan.answer_at or self.in_count + dead == total
+        ):
             return Decision.ANSWER
         if total - dead < self.plan.least_parts or now >= self.plan.end_at:
             return Decision.FAIL
--- a/ibismount/http_exchange.py
+++ b/ibismount/http_exchange.py
@@ -79,7 +79,7 @@
         self.on_closed: Callable[[Connection], None] | None = None
         self.on_idle: Callable[[Connection], None] | None = None
         self.idle_timeout_s: float | None = None
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self.closed = False
         self._transport: asyncio.Transport | None = None
         self._owner: ExchangeOwner | None = None
--- a/ibismount/membership.py
+++ b/ibismount/membership.py
@@ -4,18 +4,23 @@
 import random
 from collections.abc import Iterable
 from collections.abc import Set as AbstractSet
+from typing import TYPE_CHECKING
 
 from ibismount._probes import Probe, Record, RelayTable
 from ibismount._updates import UpdateQueue, outranks
-from ibismount.messages import (
+from ibismount.member import Member
+from ibismount.probing import (
     Ack,
     Envelope,
     MemberStatus,
-    Message,
     Ping,
     PingReq,
+    ProbeMessage,
 )
-from ibismount.roster import Member, Roster
+
+if TYPE_CHECKING:
+    # The lean edge program has no roster and does not load it.
+    from ibismount.roster import Roster
 
 __all__ = ('Membership', 'MembershipOptions', 'proposer')
 
@@ -48,7 +53,7 @@
 _DEFAULTS = MembershipOptions()
 
 
-def proposer(roster: Roster, live: AbstractSet[str]) -> str | None:
+def proposer(roster: 'Roster', live: AbstractSet[str]) -> str | None:
     """Return the first live member in rank order.
 
     While the roster has no live member, as at the first start, the first
@@ -106,6 +111,21 @@
                 if member.id not in self._records:
                     self._store(0, MemberStatus(member, 'alive', 0))
 
+    def update_own(self, member: Member) -> None:
+        """Announce a change of this node to the others."""
+        self._own = dataclasses.replace(
+            self._own, member=member, sequence=self._own.sequence + 1
+        )
+        self._queue.put(self._own)
+
+    def undoubted(self) -> dict[str, Member]:
+        """Return the live nodes that nobody suspects, by id."""
+        return {
+            node_id: member
+            for node_id, member in self.members().items()
+            if node_id not in self._suspects
+        }
+
     def members(self) -> dict[str, Member]:
         """Return all live nodes by id, this one included."""
         found = {
@@ -152,7 +172,7 @@
             for to in chosen
         ]
 
-    def removal_candidates(self, now: float, roster: Roster) -> list[str]:
+    def removal_candidates(self, now: float, roster: 'Roster') -> list[str]:
         """Return the members to take out of the roster in one change.
 
         A change removes at most a quarter of a zone's members (at least
@@ -178,7 +198,7 @@
                 found.extend(gone[:limit])
         return found
 
-    def proposer(self, roster: Roster, live: AbstractSet[str]) -> str | None:
+    def proposer(self, roster: 'Roster', live: AbstractSet[str]) -> str | None:
         """Return the node that proposes roster changes."""
         return proposer(roster, live)
 
@@ -203,7 +223,7 @@
         return out
 
     def receive(
-        self, now: float, sender: str, message: Message
+        self, now: float, sender: str, message: ProbeMessage
     ) -> list[Envelope]:
         """Take a probe, an answer or a request to probe."""
         self._note_call(now)
--- a/ibismount/messages.py
+++ b/ibismount/messages.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import enum
-from typing import NamedTuple
 
 from ibismount.cause import Cause
 from ibismount.config import Change
-from ibismount.roster import Member
+from ibismount.member import Member
+from ibismount.probing import Ack, Envelope, MemberStatus, Ping, PingReq
 
 __all__ = (
     'Ack',
@@ -65,40 +65,6 @@
     """Show that the link makes progress."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberStatus:
-    """Report one node's liveness; piggybacked on probes."""
-
-    member: Member
-    status: str  # 'alive', 'suspect', 'dead' or 'left'
-    sequence: int  # raised by the node itself to refute a suspicion
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
-    """Probe a node directly."""
-
-    probe: int
-    updates: tuple[MemberStatus, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PingReq:
-    """Ask a node to probe another one."""
-
-    probe: int
-    target: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
-    """Answer a probe; ``target`` names the node that was found alive."""
-
-    probe: int
-    target: str
-    updates: tuple[MemberStatus, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LossReport:
     """Report that backend servers were lost while running a fingerprint.
@@ -346,10 +312,3 @@
     | JournalQuery
     | JournalReply
 )
-
-
-class Envelope(NamedTuple):
-    """A message with the node id that it goes to."""
-
-    to: str
-    message: Message
--- /dev/null
+++ b/ibismount/peer_frames.py
@@ -0,0 +1,148 @@
+"""Encode what nodes tell each other: probes, and changes of the view.
+
+Probes are single datagrams; changes are length-framed on a stream. Both are
+bounded, and bytes that can't be read raise `FrameError`.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from ibismount.fleet import (
+    Change,
+    ServerChanged,
+    ServerRemoved,
+    ServersListed,
+    ZoneChanged,
+    ZonesListed,
+)
+from ibismount.probing import Ack, Ping, PingReq, ProbeMessage
+from ibismount.routes import CallerLimits, Route, RouteTable, Service
+
+__all__ = (
+    'FRAME_BYTES_MOST',
+    'Beat',
+    'FrameError',
+    'FrameReader',
+    'decode_probe',
+    'encode_frame',
+    'encode_probe',
+)
+
+FRAME_BYTES_MOST = 4 * 1024 * 1024
+_LENGTH_BYTES = 4
+
+
+class FrameError(ValueError):
+    """Report bytes from a peer that are no frame of this version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """Tell whether the sender follows the store itself, and how closely.
+
+    ``contact_age_s`` is the time since the store last answered it.
+    """
+
+    current: bool
+    contact_age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TableFrame:
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
+_FRAMES: tuple[type, ...] = (
+    Beat,
+    _TableFrame,
+    ServerChanged,
+    ServerRemoved,
+    ServersListed,
+    ZoneChanged,
+    ZonesListed,
+)
+_PROBES: tuple[type, ...] = (Ping, PingReq, Ack)
+_DECODE_TAGGED = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+
+
+def encode_probe(sender: str, message: ProbeMessage) -> bytes:
+    """Encode a probe with the id of its sender."""
+    tag = _PROBES.index(type(message))
+    return msgspec.msgpack.encode((tag, (sender, message)))
+
+
+def decode_probe(raw: bytes) -> tuple[str, ProbeMessage]:
+    """Decode a probe and the id of its sender.
+
+    Raises:
+        FrameError: The bytes are no probe.
+    """
+    return _decode(raw, _PROBES, lambda shape: tuple[str, shape])
+
+
+def encode_frame(change: Change | Beat) -> bytes:
+    """Encode a change or a beat, with its length."""
+    if isinstance(change, RouteTable):
+        change = _TableFrame(
+            change.version, change.routes, dict(change.services), change.limits
+        )
+    tag = _FRAMES.index(type(change))
+    body = msgspec.msgpack.encode((tag, change))
+    return len(body).to_bytes(_LENGTH_BYTES, 'big') + body
+
+
+class FrameReader:
+    """Cut a stream into changes and beats.
+
+    Example::
+
+        reader = FrameReader()
+        reader.feed(encode_frame(Beat(True, 0)))  # [Beat(True, 0)]
+    """
+
+    def __init__(self) -> None:
+        """Start with no bytes."""
+        self._bytes = bytearray()
+
+    def feed(self, data: bytes) -> list[Change | Beat]:
+        """Return the frames that are whole now.
+
+        Raises:
+            FrameError: The stream is broken; it must not be read further.
+        """
+        self._bytes += data
+        found = []
+        while len(self._bytes) >= _LENGTH_BYTES:
+            length = int.from_bytes(self._bytes[:_LENGTH_BYTES], 'big')
+            if length > FRAME_BYTES_MOST:
+                raise FrameError(f'frame of {length} bytes')
+            end = _LENGTH_BYTES + length
+            if len(self._bytes) < end:
+                break
+            body = bytes(self._bytes[_LENGTH_BYTES:end])
+            del self._bytes[:end]
+            found.append(_plain(_decode(body, _FRAMES, lambda shape: shape)))
+        return found
+
+
+def _decode(raw: bytes, shapes: tuple[type, ...], wrap: Any) -> Any:
+    try:
+        tag, body = _DECODE_TAGGED.decode(raw)
+        if not 0 <= tag < len(shapes):
+            raise FrameError(f'unknown frame {tag}')
+        return msgspec.msgpack.decode(body, type=wrap(shapes[tag]))
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise FrameError(str(exc)) from exc
+
+
+def _plain(frame: Any) -> Change | Beat:
+    if isinstance(frame, _TableFrame):
+        return RouteTable(
+            frame.version, frame.routes, frame.services, frame.limits
+        )
+    return frame
--- a/ibismount/platform/feed.py
+++ b/ibismount/platform/feed.py
@@ -71,9 +71,7 @@
         zones = tuple(one.name for one in listing.entries)
         return [ZonesListed(zones, listing.revision)]
     changes = [
-        change
-        for entry in listing.entries
-        for change in _changed(kind, entry)
+        change for entry in listing.entries for change in _changed(kind, entry)
     ]
     if kind is FeedKind.ROUTES:
         return changes
--- a/ibismount/platform/store.py
+++ b/ibismount/platform/store.py
@@ -106,9 +106,7 @@
         connect_s: Longest time to connect, in seconds.
     """
 
-    def __init__(
-        self, host: str, port: int, *, connect_s: float = 1.0
-    ) -> None:
+    def __init__(self, host: str, port: int, *, connect_s: float = 1.0) -> None:
         """Start without connections."""
         self._address = (host, port)
         self._connect_s = connect_s
@@ -143,9 +141,7 @@
             HistoryGone: The changes are no longer kept.
             StoreError: The store did not answer.
         """
-        path = (
-            f'/objects/{kind}?watch={revision}&wait-ms={int(wait_s * 1000)}'
-        )
+        path = f'/objects/{kind}?watch={revision}&wait-ms={int(wait_s * 1000)}'
         answer = await self._get(path, wait_s + _WATCH_GRACE_S)
         page = self._decode(answer, _Events)
         entries = [
--- a/ibismount/platform/wire.py
+++ b/ibismount/platform/wire.py
@@ -136,9 +136,7 @@
         """Encode the answer to a caller."""
         if outcome.kind is OutcomeKind.RELAYED:
             raw = outcome.relayed.raw
-            headers = [
-                one for one in raw.headers if one[0] not in _HOP_HEADERS
-            ]
+            headers = [one for one in raw.headers if one[0] not in _HOP_HEADERS]
             return _encode(raw.status, headers, raw.body, last=last)
         if outcome.kind is OutcomeKind.MERGED:
             headers = [
@@ -184,9 +182,7 @@
     return _encode(status, [], b'', last=False)
 
 
-def _encode(
-    status: int, headers: Headers, body: bytes, *, last: bool
-) -> bytes:
+def _encode(status: int, headers: Headers, body: bytes, *, last: bool) -> bytes:
     lines = [b'HTTP/1.1 %d %b' % (status, _reason(status))]
     lines.extend(name + b': ' + text for name, text in headers)
     lines.append(b'Content-Length: %d' % len(body))
--- a/ibismount/roster.py
+++ b/ibismount/roster.py
@@ -8,6 +8,7 @@
 
 from ibismount.catalog import findings_of
 from ibismount.errors import FindingsError
+from ibismount.member import Member
 
 __all__ = (
     'Member',
@@ -18,23 +19,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """One node of the roster.
-
-    ``since`` is the version of the change that brought this incarnation in.
-    ``link_address`` serves other nodes, ``api_address`` serves callers.
-    """
-
-    id: str
-    incarnation: int
-    availability_zone: str
-    region: str
-    link_address: str
-    api_address: str
-    since: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Roster:
     """All members by id, as of the version of the last roster change."""
--- a/ibismount/routes.py
+++ b/ibismount/routes.py
@@ -97,7 +97,7 @@
         for route in self.routes:
             self.by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self.by_host.values():
-            routes.sort(key=lambda route: -len(route.prefix))
+            routes.sort(key=_prefix_length, reverse=True)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
@@ -107,6 +107,10 @@
         return None
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def empty_table() -> RouteTable:
     """Return the table of a node that knows no configuration yet."""
     return RouteTable(version=0)
--- a/ibismount/server_health.py
+++ b/ibismount/server_health.py
@@ -27,6 +27,10 @@
 _DEFAULTS = HealthOptions()
 
 
+# Finer steps of the decay cost more than they change, in seconds.
+STEP_S = 0.05
+
+
 class ServerHealth:
     """What one node has seen of one backend server.
 
@@ -48,14 +52,14 @@
     def __init__(self, options: HealthOptions = _DEFAULTS) -> None:
         """Start with a sound server."""
         self._options = options
-        self._at = 0.0
-        self._ratio = 1.0
-        self._failures = 0.0
+        self._at: float = 0
+        self._ratio: float = 1
+        self._failures: float = 0
         self._strikes = 0
-        self._avoid_until = 0.0
+        self._avoid_until: float = 0
         self.in_flight = 0
         # While a request is overdue there, new ones go elsewhere.
-        self.suspect_until = 0.0
+        self.suspect_until: float = 0
 
     def answered(self, now: float, ratio: float) -> None:
         """Record an answer that took ``ratio`` times the usual latency."""
@@ -106,7 +110,7 @@
 
     def _decay(self, now: float) -> None:
         elapsed = now - self._at
-        if elapsed <= 0.05:  # finer steps cost more than they change
+        if elapsed <= STEP_S:
             return
         keep = math.exp2(-elapsed / self._options.half_life_s)
         self._at = now
--- a/ibismount/server_pool.py
+++ b/ibismount/server_pool.py
@@ -113,7 +113,9 @@
                 for conn in list(conns):
                     conn.close()
 
-    async def _connect(self, address: Address, waiting: PendingExchange) -> None:
+    async def _connect(
+        self, address: Address, waiting: PendingExchange
+    ) -> None:
         try:
             async with asyncio.timeout(self._options.connect_s):
                 conn = await connect(*address)
--- a/ibismount/servers.py
+++ b/ibismount/servers.py
@@ -116,20 +116,22 @@
         revision: int,
         *,
         delay_s: float = 0,
-    ) -> list[Server]:
-        """Take a complete list of one revision; return what is new.
+    ) -> bool:
+        """Take a complete list of one revision; return whether it is news.
 
         Entries that are newer than the list stay, since the list may be a
         stale read.
         """
-        present = {}
-        for server in servers:
-            present[server.id] = server
+        present = {server.id: server for server in servers}
+        changed = False
         for server_id, row in list(self._rows.items()):
             if server_id in present or row.server.revision > revision:
                 continue
-            self.remove(now, server_id, revision, delay_s=delay_s)
-        return [one for one in present.values() if self.put(now, one)]
+            if self.remove(now, server_id, revision, delay_s=delay_s):
+                changed = True
+        for server in present.values():
+            changed = self.put(now, server) or changed
+        return changed
 
     def expire(self, now: float) -> list[Server]:
         """Drop the servers whose loss is now believed; return them."""
--- /dev/null
+++ b/ibismount/store_duty.py
@@ -0,0 +1,104 @@
+"""Decide which nodes follow the store themselves.
+
+Each call to the store is paid for, so only a few nodes follow it and hand
+changes on. Every node links to the first nodes in a rank that all nodes
+compute alike; a node whose links give no current view follows the store
+itself until they do again.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ('DutyOptions', 'StoreDuty', 'rank_nodes')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyOptions:
+    """Numbers and times in seconds."""
+
+    # Nodes that follow the store: with two, one may fail unnoticed.
+    sources: int = 2
+    # A node starts to follow the store this long after its start, when it has
+    # heard from its peers.
+    settle_s: float = 0.7
+    # Longest time without a current view from a peer.
+    patience_s: float = 1.2
+    # Later ranks wait longer, so that not all follow the store at once.
+    stagger_s: float = 0.15
+    stagger_most_s: float = 1.2
+    # A node stops following the store after this time with current links.
+    release_s: float = 4.0
+
+
+_DEFAULTS = DutyOptions()
+
+
+def rank_nodes(node_ids: Iterable[str]) -> list[str]:
+    """Return nodes in an order that all nodes agree on."""
+    return sorted(node_ids, key=_rank_key)
+
+
+def _rank_key(node_id: str) -> bytes:
+    return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
+
+
+class StoreDuty:
+    """Decide for one node, from its rank and its links.
+
+    Args:
+        node_id: This node.
+        started_at: When the process started, in seconds.
+        options: Numbers and times.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        started_at: float,
+        options: DutyOptions = _DEFAULTS,
+    ) -> None:
+        """Start without duty."""
+        self._node_id = node_id
+        self._options = options
+        self._settled_at = started_at + options.settle_s
+        self._current_at = started_at
+        self._stale_at = started_at
+
+    def upstream(self, live: Iterable[str]) -> list[str]:
+        """Return the other nodes that this node links to."""
+        ranked = rank_nodes(live)
+        others = [one for one in ranked if one != self._node_id]
+        return others[: self._options.sources]
+
+    def follows_store(
+        self, now: float, live: Iterable[str], *, current_links: int
+    ) -> bool:
+        """Tell whether this node follows the store itself now.
+
+        Args:
+            now: Time in seconds.
+            live: Ids of the nodes that are alive, this one included.
+            current_links: Links whose peer follows the store closely.
+        """
+        if current_links:
+            self._current_at = now
+        else:
+            self._stale_at = now
+        if now < self._settled_at:
+            return False
+        ranked = rank_nodes(live)
+        rank = ranked.index(self._node_id) if self._node_id in ranked else 0
+        if rank < self._options.sources:
+            return True
+        if not current_links:
+            stagger_s = min(
+                rank * self._options.stagger_s, self._options.stagger_most_s
+            )
+            patience_s = self._options.patience_s + stagger_s
+            return now - self._current_at >= patience_s
+        return False
+
+    def may_stop(self, now: float) -> bool:
+        """Tell whether links have been current long enough to rely on."""
+        return now - self._stale_at >= self._options.release_s
