Refuse a search at once when too few shards have a server

Cause: the first parts were sent before the last shard was found to have no server, so the refusal could not say that nothing ran (502 instead of 503 with a time to come back).

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -128,9 +128,14 @@
         return self._on_outcome is None
 
     def start(self) -> None:
-        """Send every part once."""
-        for part in self.gathering.parts:
-            self._send(part)
+        """Send every part once, unless too few can be had at all."""
+        parts = self.gathering.parts
+        for part in parts:
+            part.exhausted = not self._dispatch.ranked(part)
+        if self.gathering.decide(self.started_at) is Decision.WAIT:
+            for part in parts:
+                if not part.exhausted:
+                    self._send(part)
         self._decide()
 
     def caller_left(self) -> None:
--- /dev/null
+++ b/tests/test_edge_settings.py
@@ -0,0 +1,88 @@
+"""Settings of the edge: all findings together, each with its place."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from ibismount.edge_settings import check_settings, load_settings
+from ibismount.errors import FindingsError
+
+ROOT = pathlib.Path(__file__).parent.parent
+GOOD = {
+    'node': {
+        'name': 'n1',
+        'ip': '10.0.0.1',
+        'zone': 'z1',
+        'area': 'r',
+        'peer_ports': [7740, 7755],
+        'seeds': ['10.0.0.2:8224'],
+    },
+    'listen': {
+        'callers': '10.0.0.1:1',
+        'readiness': '10.0.0.1:2',
+        'directory': '10.0.0.1:3',
+    },
+    'store': {'address': '10.0.0.9:1'},
+    'bounds': {'retry_ratio': 0.2, 'grace_s': 6},
+}
+
+
+def test_good_settings_are_taken():
+    """A file as the deployment fills it in must start a node."""
+    cfg = check_settings(GOOD)
+    assert cfg.node.peer_ports == (7740, 7755)
+    assert cfg.bounds.retry_ratio == 0.2
+
+
+def test_all_findings_are_reported_with_their_place():
+    """An operator mends a file once, not once for each finding."""
+    bad = json.loads(json.dumps(GOOD))
+    bad['node']['ip'] = 7
+    bad['node'].pop('zone')
+    bad['bounds']['retry_ratio'] = 'much'
+    bad['stores'] = {}
+    bad.pop('listen')
+    with pytest.raises(FindingsError) as caught:
+        check_settings(bad, place='file')
+    places = [one.place for one in caught.value.findings]
+    assert sorted(places) == [
+        'file: bounds.retry_ratio',
+        'file: listen',
+        'file: node.ip',
+        'file: node.zone',
+        'file: stores',
+    ]
+
+
+@pytest.mark.parametrize('text', ['', '[', '7', '[]'])
+def test_file_that_is_no_settings_is_refused(tmp_path, text):
+    """A cut or foreign file must not start a node with defaults."""
+    path = tmp_path / 'settings'
+    path.write_text(text)
+    with pytest.raises(FindingsError):
+        load_settings(str(path))
+
+
+def test_template_of_the_deployment_fills_every_section():
+    """A field that the template misspells would stop every node."""
+    text = (ROOT / 'deploy' / 'settings.yaml.tmpl').read_text()
+    samples = {'internal-port-range': '[1, 2]', 'seed-nodes': '["a:1"]'}
+
+    def fill(found):
+        name = found.group(1)
+        number = '3' if name.startswith('bounds.') else '"x"'
+        return samples.get(name, number)
+
+    cfg = check_settings(
+        json.loads(re.sub(r'\{\{([^|}]+)\|json\}\}', fill, text))
+    )
+    assert cfg.node.name == 'x'
+
+
+def test_deployed_packages_are_those_of_the_lock_file():
+    """The bench must run the versions that the tests ran with."""
+    locked = set((ROOT / 'requirements.lock').read_text().split())
+    deployed = (ROOT / 'deploy' / 'requirements.txt').read_text().split()
+    assert set(deployed) <= locked
