Name the strong nodes of a mixed fleet to callers

Change: callers are told the nodes with at least half of the strongest one's capacity, four at least; these share connections and most of the budget, and strong nodes follow the store first. Equal fleets are named whole as before.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -14,6 +14,7 @@
 from ibismount.edge_settings import EdgeSettings, load_settings
 from ibismount.errors import ErrorCode, FindingsError
 from ibismount.fleet import Change, Fleet
+from ibismount.handout import nodes_to_name
 from ibismount.logs import part_logger
 from ibismount.member import Member
 from ibismount.peers import Peers
@@ -40,6 +41,9 @@
 # Nodes that are assumed to share each server while peers are not known.
 # The number is the size of the largest fleet of today.
 NODES_UNKNOWN = 128
+# Part of the fleet's budgets that belongs to the nodes which callers are sent
+# to; the others get requests of callers with old lists only.
+NAMED_SHARE = 0.8
 # Time after the start until the number of live peers is relied on, in seconds.
 SETTLE_S = 1.2
 ADDRESSES_MOST = 64  # addresses that one answer may hold
@@ -165,7 +169,7 @@
                 BudgetOptions(
                     ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
                 ),
-                self.node_count,
+                self.budget_share,
             ),
             wire=self.wire,
             rng=rng,
@@ -183,24 +187,42 @@
 
     def node_count(self) -> int:
         """Return the number of nodes that share each server."""
+        return self._sharing()[0]
+
+    def budget_share(self) -> float:
+        """Return this node's part of a budget of the whole fleet."""
+        count, share = self._sharing()
+        return share / count
+
+    def _sharing(self) -> tuple[int, float]:
+        """Return the nodes of this one's kind, and their part of a budget."""
         settled_at = self._started_at + SETTLE_S
         if asyncio.get_running_loop().time() < settled_at:
-            return NODES_UNKNOWN
-        return self.peers.most_live()
+            return NODES_UNKNOWN, 1
+        most = self.peers.most_live()
+        named = self._named()
+        if len(named) >= most or not named:
+            return most, 1
+        own_id = self.cfg.node.ip
+        if any(one.id == own_id for one in named):
+            return len(named), NAMED_SHARE
+        return most, 1 - NAMED_SHARE
 
     def addresses(self, zone: str) -> list[str]:
         """Return the addresses that a caller may use."""
-        found = [
-            one.api_address
-            for one in self.peers.members()
-            if one.api_address and one.id != self.cfg.node.ip
-        ]
-        if self.serving:
-            found.append(self.cfg.listen.callers)
+        found = [one.api_address for one in self._named()]
         if len(found) > ADDRESSES_MOST:
             found = self._rng.sample(found, ADDRESSES_MOST)
         return found
 
+    def _named(self) -> list[Member]:
+        members = self.peers.members()
+        if self.serving:
+            return nodes_to_name(members)
+        # What others said of this node may be late.
+        own_id = self.cfg.node.ip
+        return nodes_to_name(one for one in members if one.id != own_id)
+
     async def run(self) -> None:
         """Serve until a signal ends the process."""
         await self._listen(self.cfg.listen.callers, self._serving_site)
@@ -281,6 +303,7 @@
         region=cfg.node.area,
         link_address=f'{cfg.node.ip}:{cfg.node.peer_ports[0]}',
         api_address='',
+        capacity=cfg.node.capacity,
     )
 
 
--- a/ibismount/edge_settings.py
+++ b/ibismount/edge_settings.py
@@ -30,6 +30,15 @@
     peer_ports: tuple[int, int]
     # Addresses of some nodes, which may be stale.
     seeds: list[str] = []
+    # Share of the processor that this node may use, and how many times as
+    # fast as one core it is.
+    cpu_share: float = 1
+    cpu_cores: float = 1
+
+    @property
+    def capacity(self) -> float:
+        """Return the processor cores that this node may use."""
+        return self.cpu_share * self.cpu_cores
 
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/ibismount/member.py
+++ b/ibismount/member.py
@@ -20,3 +20,5 @@
     link_address: str
     api_address: str
     since: int = 0
+    # Processor cores that the node may use.
+    capacity: float = 1
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -260,7 +260,11 @@
 
     def _tick(self, now: float) -> None:
         self._send(self._membership.tick(now))
-        live = self._membership.live(now)
+        self._membership.live(now)
+        live = {
+            node_id: member.capacity
+            for node_id, member in self._membership.members().items()
+        }
         self._most_live = max(self._most_live, len(live))
         self._tend_links(live)
         current = sum(
@@ -287,7 +291,7 @@
         fresh = now - link.beat_at <= options.beat_most_s
         return fresh and link.beat.contact_age_s <= options.contact_most_s
 
-    def _tend_links(self, live: frozenset[str]) -> None:
+    def _tend_links(self, live: dict[str, float]) -> None:
         wanted = self._duty.upstream(live)
         for node_id in list(self._links):
             link = self._links[node_id]
--- a/ibismount/roster.py
+++ b/ibismount/roster.py
@@ -55,6 +55,7 @@
     api_address: str
     # Members are written with this field; the change's version replaces it.
     since: int = 0
+    capacity: float = 1
 
 
 class _RosterChangeModel(pydantic.BaseModel):
--- a/ibismount/store_duty.py
+++ b/ibismount/store_duty.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 __all__ = ('DutyOptions', 'StoreDuty', 'rank_nodes')
 
@@ -34,12 +34,18 @@
 _DEFAULTS = DutyOptions()
 
 
-def rank_nodes(node_ids: Iterable[str]) -> list[str]:
-    """Return nodes in an order that all nodes agree on."""
-    return sorted(node_ids, key=_rank_key)
+def rank_nodes(capacities: Mapping[str, float]) -> list[str]:
+    """Return nodes in an order that all nodes agree on, strong ones first.
+
+    Args:
+        capacities: The capacity of each node by its id.
+    """
+    return sorted(
+        capacities, key=lambda one: (-capacities[one], _spread_key(one))
+    )
 
 
-def _rank_key(node_id: str) -> bytes:
+def _spread_key(node_id: str) -> bytes:
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
 
 
@@ -70,20 +76,21 @@
         self._current_at = started_at
         self._stale_at = started_at
 
-    def upstream(self, live: Iterable[str]) -> list[str]:
+    def upstream(self, live: Mapping[str, float]) -> list[str]:
         """Return the other nodes that this node links to."""
         ranked = rank_nodes(live)
         others = [one for one in ranked if one != self._node_id]
         return others[: self._options.sources]
 
     def follows_store(
-        self, now: float, live: Iterable[str], *, current_links: int
+        self, now: float, live: Mapping[str, float], *, current_links: int
     ) -> bool:
         """Tell whether this node follows the store itself now.
 
         Args:
             now: Time in seconds.
-            live: Ids of the nodes that are alive, this one included.
+            live: Capacities of the nodes that are alive, by id, this one
+                included.
             current_links: Links whose peer follows the store closely.
         """
         if current_links:
--- a/ibismount/traffic_budget.py
+++ b/ibismount/traffic_budget.py
@@ -33,15 +33,15 @@
 
     Args:
         options: Bounds.
-        node_count: Returns the number of nodes that share the budget.
+        share: Returns this node's part of the slack, between 0 and 1.
     """
 
     def __init__(
-        self, options: BudgetOptions, node_count: Callable[[], int]
+        self, options: BudgetOptions, share: Callable[[], float]
     ) -> None:
         """Start with a part of the slack for each service."""
         self._options = options
-        self._node_count = node_count
+        self._share = share
         self._buckets: dict[str, ExtraLoadBudget] = {}
         self.spent = 0
         self.denied = 0
@@ -66,7 +66,7 @@
 
     def _bucket(self, service: str) -> ExtraLoadBudget:
         options = self._options
-        burst = options.slack * options.slack_used / self._node_count()
+        burst = options.slack * options.slack_used * self._share()
         known = self._buckets.get(service)
         if known is None:
             known = ExtraLoadBudget(
--- a/ibismount/wire.capnp
+++ b/ibismount/wire.capnp
@@ -45,6 +45,7 @@
   linkAddress @4 :Text;
   apiAddress @5 :Text;
   since @6 :UInt64;
+  capacity @7 :Float64;
 }
 
 struct MemberStatus {
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -196,7 +196,7 @@
         }
         self.fleet.apply(RouteTable(1, (SEARCH, LOOKUP, BOOKING), services))
         self.budget = TrafficBudget(
-            BudgetOptions(ratio=0.2, slack=slack), lambda: nodes
+            BudgetOptions(ratio=0.2, slack=slack), lambda: 1 / nodes
         )
         rng = random.Random(5)
         self.wire = PlatformWire()
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -72,7 +72,8 @@
 
     def fill(found):
         name = found.group(1)
-        number = '3' if name.startswith('bounds.') else '"x"'
+        is_number = name.startswith(('bounds.', 'limits.'))
+        number = '3' if is_number else '"x"'
         return samples.get(name, number)
 
     cfg = check_settings(
--- a/tests/test_store_duty.py
+++ b/tests/test_store_duty.py
@@ -2,7 +2,8 @@
 
 from ibismount.store_duty import DutyOptions, StoreDuty, rank_nodes
 
-NODES = [f'10.0.0.{number}' for number in range(1, 16)]
+IDS = [f'10.0.0.{number}' for number in range(1, 16)]
+NODES = dict.fromkeys(IDS, 1)
 OPTIONS = DutyOptions()
 
 
@@ -22,15 +23,15 @@
 
 def test_nobody_follows_the_store_before_peers_are_heard():
     """At a start of the whole fleet each node first knows only itself."""
-    duty = StoreDuty(NODES[0], 5)
-    assert not duty.follows_store(5.1, [NODES[0]], current_links=0)
-    assert duty.follows_store(5.8, [NODES[0]], current_links=0)
+    duty = StoreDuty(IDS[0], 5)
+    assert not duty.follows_store(5.1, {IDS[0]: 1}, current_links=0)
+    assert duty.follows_store(5.8, {IDS[0]: 1}, current_links=0)
 
 
 def test_seed_follows_the_store_from_its_start():
     """After a loss of all nodes the others wait for the seeds."""
-    assert StoreDuty(NODES[0], 5, is_seed=True).follows_store(
-        5, NODES[:3], current_links=0
+    assert StoreDuty(IDS[0], 5, is_seed=True).follows_store(
+        5, dict.fromkeys(IDS[:3], 1), current_links=0
     )
 
 
@@ -70,7 +71,7 @@
 
 def test_node_keeps_following_until_links_are_steady():
     """A link that is current for a moment must not end the duty."""
-    duty = StoreDuty(NODES[3], 0)
+    duty = StoreDuty(IDS[3], 0)
     duty.follows_store(10, NODES, current_links=0)
     duty.follows_store(11, NODES, current_links=1)
     assert not duty.may_stop(11)
@@ -81,3 +82,9 @@
     """A node that was stopped began to follow the store while it ended."""
     duty = StoreDuty('10.0.0.99', 0)
     assert not duty.follows_store(10, NODES, current_links=2)
+
+
+def test_strong_nodes_follow_the_store_first():
+    """A weak node would spend its link on handing changes on."""
+    capacities = {**NODES, '10.0.0.7': 4, '10.0.0.9': 4}
+    assert set(rank_nodes(capacities)[:2]) == {'10.0.0.7', '10.0.0.9'}
--- a/tests/test_traffic_budget.py
+++ b/tests/test_traffic_budget.py
@@ -15,13 +15,13 @@
     options = BudgetOptions(ratio=RATIO, slack=SLACK)
     extras = 0
     for number in range(nodes):
-        budget = TrafficBudget(options, lambda: nodes)
+        budget = TrafficBudget(options, lambda: 1 / nodes)
         for _ in range(1000):
             budget.earn('desk')
         restart_at = rng.randrange(requests_per_node) if restarts else -1
         for step in range(requests_per_node):
             if step == restart_at and number < restarts:
-                budget = TrafficBudget(options, lambda: nodes)
+                budget = TrafficBudget(options, lambda: 1 / nodes)
             budget.earn('desk')
             while budget.spend('desk'):
                 extras += 1
@@ -52,7 +52,7 @@
 def test_size_of_the_fleet_follows_what_is_known():
     """A node that learns of more nodes takes a smaller part of the slack."""
     known = [1]
-    budget = TrafficBudget(BudgetOptions(slack=SLACK), lambda: known[0])
+    budget = TrafficBudget(BudgetOptions(slack=SLACK), lambda: 1 / known[0])
     for _ in range(1000):
         budget.earn('desk')
     known[0] = 50
