--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,211 @@
+"""Stand-in of the users' store: objects by kind, watches, and its faults.
+
+It speaks the calls that `ibismount.platform.store` makes, on one port, and
+keeps everything in memory. Faults are set by tests through `ObjectStore`, or
+from outside with ``POST /faults``.
+
+Example::
+
+    python -m standins.object_store 127.0.0.1:8229
+"""
+
+import asyncio
+import contextlib
+import json
+import sys
+from urllib.parse import parse_qs
+
+import h11
+
+__all__ = ('ObjectStore', 'serve_store')
+
+PAGE = 50  # objects in one answer to a list
+READ_BYTES = 65536
+
+
+class ObjectStore:
+    """Objects with revisions, and a bounded history of their changes."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.revision = 1
+        self.calls = 0
+        # One of: '', 'busy', 'silent', 'reset', 'garbage'.
+        self.fault = ''
+        self._kinds: dict[str, dict[str, dict]] = {}
+        self._history: list[tuple[int, str, dict]] = []
+        self._oldest = 0
+        self._changed = asyncio.Condition()
+
+    async def put(self, kind: str, name: str, spec: object) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        meta = {
+            'name': name,
+            'revision': self.revision,
+            'created': 1,
+            'finalizers': [],
+            'deleting': False,
+        }
+        stored = {'meta': meta, 'spec': spec, 'status': None}
+        self._kinds.setdefault(kind, {})[name] = stored
+        await self._note(kind, {'object': stored, 'deleted': False})
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self._kinds.get(kind, {}).pop(name, None)
+        if stored is None:
+            return
+        self.revision += 1
+        gone = {**stored, 'meta': {**stored['meta'], 'revision': self.revision}}
+        await self._note(kind, {'object': gone, 'deleted': True})
+
+    async def forget_history(self) -> None:
+        """Drop all changes, so that watches have to list again."""
+        self._history.clear()
+        self._oldest = self.revision
+        async with self._changed:
+            self._changed.notify_all()
+
+    def page(self, kind: str, after: str) -> dict:
+        """Return a page of objects."""
+        objects = self._kinds.get(kind, {})
+        names = [name for name in sorted(objects) if name > after]
+        return {
+            'items': [objects[name] for name in names[:PAGE]],
+            'has-more': len(names) > PAGE,
+            'store-revision': self.revision,
+        }
+
+    async def watch(self, kind: str, since: int, wait_s: float) -> dict | None:
+        """Return changes after a revision; None when they are forgotten."""
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if since < self._oldest:
+                return None
+            events = [
+                event
+                for revision, of_kind, event in self._history
+                if of_kind == kind and revision > since
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return {'events': events, 'store-revision': self.revision}
+            with contextlib.suppress(TimeoutError):
+                async with self._changed, asyncio.timeout(left):
+                    await self._changed.wait()
+
+    async def answer(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, object]:
+        """Answer one call with a status and a JSON value."""
+        self.calls += 1
+        path, _, text = target.partition('?')
+        query = {key: found[0] for key, found in parse_qs(text).items()}
+        words = path.strip('/').split('/')
+        if method == 'POST' and words == ['faults']:
+            self.fault = json.loads(body)['fault']
+            return 200, {}
+        if self.fault == 'busy':
+            return 503, {'error': 'busy'}
+        if len(words) < 2 or words[0] != 'objects':
+            return 404, {'error': 'no such call'}
+        return await self._objects(method, words[1:], query, body)
+
+    async def _objects(
+        self, method: str, words: list[str], query: dict, body: bytes
+    ) -> tuple[int, object]:
+        kind, name = words[0], words[1] if len(words) > 1 else ''
+        if method == 'PUT' and name:
+            await self.put(kind, name, json.loads(body)['spec'])
+            return 200, self._kinds[kind][name]
+        if method == 'DELETE' and name:
+            await self.delete(kind, name)
+            return 200, {}
+        if name:
+            stored = self._kinds.get(kind, {}).get(name)
+            return (200, stored) if stored else (404, {'error': 'no object'})
+        if 'watch' not in query:
+            return 200, self.page(kind, query.get('after', ''))
+        wait_s = int(query.get('wait-ms', 0)) / 1000
+        found = await self.watch(kind, int(query['watch']), wait_s)
+        return (200, found) if found else (410, {'error': 'history is gone'})
+
+    async def _note(self, kind: str, event: dict) -> None:
+        self._history.append((self.revision, kind, event))
+        async with self._changed:
+            self._changed.notify_all()
+
+
+async def _serve_connection(
+    store: ObjectStore,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    conn = h11.Connection(h11.SERVER)
+    try:
+        while await _serve_call(store, conn, reader, writer):
+            conn.start_next_cycle()
+    except (ConnectionError, h11.RemoteProtocolError):
+        pass  # the caller left in the middle of a call
+    finally:
+        writer.close()
+
+
+async def _serve_call(
+    store: ObjectStore,
+    conn: h11.Connection,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Serve one call; return whether another may follow."""
+    method, target, body = '', '', b''
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            method, target = event.method.decode(), event.target.decode()
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            break
+        else:
+            return False
+    status, found = await store.answer(method, target, body)
+    if target != '/faults' and store.fault == 'silent':
+        await reader.read()
+        return False
+    if target != '/faults' and store.fault == 'reset':
+        writer.transport.abort()
+        return False
+    content = json.dumps(found).encode()
+    if store.fault == 'garbage':
+        content = content[: len(content) // 2]
+    headers = [('content-length', str(len(content)))]
+    writer.write(conn.send(h11.Response(status_code=status, headers=headers)))
+    writer.write(conn.send(h11.Data(data=content)))
+    writer.write(conn.send(h11.EndOfMessage()))
+    await writer.drain()
+    return conn.our_state is h11.DONE
+
+
+async def serve_store(
+    store: ObjectStore, host: str, port: int
+) -> asyncio.Server:
+    """Listen for calls."""
+    return await asyncio.start_server(
+        lambda reader, writer: _serve_connection(store, reader, writer),
+        host,
+        port,
+    )
+
+
+async def _main(address: str) -> None:
+    host, _, port = address.rpartition(':')
+    server = await serve_store(ObjectStore(), host, int(port))
+    await server.serve_forever()
+
+
+if __name__ == '__main__':
+    asyncio.run(_main(sys.argv[1]))
