Explain a request from the log lines of many nodes

ibismountctl logs explain ID FILE... shows a request's lines and what its node believed in the ten seconds before; logs timeline merges all lines. Clocks are brought together by the moment at which a version came into force.

--- a/ibismount/cli.py
+++ b/ibismount/cli.py
@@ -10,6 +10,7 @@
 from cleo.application import Application
 
 from ibismount import _cli_entries as entries
+from ibismount import _cli_logs as logs
 from ibismount import _cli_requests as requests
 from ibismount.telemetry import configure_telemetry
 
@@ -50,6 +51,8 @@
         requests.BookCommand,
     ):
         application.add(command(transport))
+    application.add(logs.LogsExplainCommand())
+    application.add(logs.LogsTimelineCommand())
     return application
 
 
--- /dev/null
+++ b/ibismount/log_reader.py
@@ -0,0 +1,146 @@
+"""Read the log lines of many nodes and explain what happened to a request.
+
+Nodes have clocks of their own. All of them log the version that comes into
+force, nearly at the same moment, so these lines show how far each clock is
+from the others.
+"""
+
+import dataclasses
+import datetime
+import json
+import statistics
+from collections.abc import Iterable
+from typing import Any
+
+__all__ = (
+    'LogLine',
+    'clock_offsets',
+    'explain_request',
+    'merge_lines',
+    'parse_lines',
+)
+
+# Events of the same node this long before a request's end are shown with it.
+CONTEXT_S = 10.0
+# Lines that tell what a node believed, rather than what one request met.
+CONTEXT_MESSAGES = frozenset(
+    (
+        'edge: started',
+        'edge: leaving',
+        'edge: stopped',
+        'edge: settings read again',
+        'edge: routes in force',
+        'edge: server gone',
+        'feed: store lost',
+        'feed: store reached',
+        'feed: history lost',
+        'feed: watches sent again',
+        'peers: following the store',
+        'peers: store left to peers',
+    )
+)
+VERSION_MESSAGE = 'edge: routes in force'
+_PLAIN_FIELDS = frozenset(('asctime', 'levelname', 'message', 'node'))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line; ``at`` is the time of the node's own clock, in seconds."""
+
+    at: float
+    node: str
+    message: str
+    fields: dict[str, Any]
+
+    def render(self, *, offset_s: float = 0) -> str:
+        """Return the line for people, with its time on the common clock."""
+        moment = datetime.datetime.fromtimestamp(
+            self.at - offset_s, tz=datetime.UTC
+        )
+        fields = ' '.join(f'{key}={held}' for key, held in self.fields.items())
+        clock = moment.strftime('%H:%M:%S.%f')[:-3]
+        return f'{clock} {self.node} {self.message} {fields}'.rstrip()
+
+
+def parse_lines(lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines that a node wrote; others are passed over.
+
+    A line may have a prefix before its JSON, such as that of a collector.
+    """
+    found = []
+    for text in lines:
+        line = _parse(text)
+        if line is not None:
+            found.append(line)
+    return found
+
+
+def _parse(text: str) -> LogLine | None:
+    start = text.find('{')
+    if start < 0:
+        return None
+    try:
+        held = json.loads(text[start:])
+        moment = datetime.datetime.strptime(
+            held['asctime'], '%Y-%m-%d %H:%M:%S,%f'
+        )
+        at = moment.replace(tzinfo=datetime.UTC).timestamp()
+        message, node = str(held['message']), str(held['node'])
+    except (ValueError, KeyError, TypeError):
+        return None
+    fields = {
+        key: value for key, value in held.items() if key not in _PLAIN_FIELDS
+    }
+    return LogLine(at, node, message, fields)
+
+
+def clock_offsets(lines: Iterable[LogLine]) -> dict[str, float]:
+    """Return how far each node's clock is ahead of the median, in seconds."""
+    first: dict[object, dict[str, float]] = {}
+    for line in lines:
+        if line.message == VERSION_MESSAGE:
+            of_version = first.setdefault(line.fields.get('version'), {})
+            of_version.setdefault(line.node, line.at)
+    found: dict[str, list[float]] = {}
+    for of_version in first.values():
+        middle = statistics.median(of_version.values())
+        for node, at in of_version.items():
+            found.setdefault(node, []).append(at - middle)
+    return {node: statistics.median(offsets) for node, offsets in found.items()}
+
+
+def merge_lines(lines: list[LogLine]) -> list[str]:
+    """Return all lines in the order of the common clock."""
+    offsets = clock_offsets(lines)
+    ordered = sorted(
+        lines, key=lambda line: line.at - offsets.get(line.node, 0)
+    )
+    return [line.render(offset_s=offsets.get(line.node, 0)) for line in ordered]
+
+
+def explain_request(lines: list[LogLine], request_id: str) -> list[str]:
+    """Return what was logged of a request, and what its node believed then.
+
+    Args:
+        lines: Lines of any number of nodes.
+        request_id: The id that the caller sent.
+
+    Returns:
+        Rendered lines in order; empty when no line names the request.
+    """
+    own = [
+        line for line in lines if line.fields.get('request_id') == request_id
+    ]
+    if not own:
+        return []
+    nodes = {line.node for line in own}
+    start = min(line.at for line in own) - CONTEXT_S
+    end = max(line.at for line in own)
+    context = [
+        line
+        for line in lines
+        if line.message in CONTEXT_MESSAGES
+        and line.node in nodes
+        and start <= line.at <= end
+    ]
+    return merge_lines(own + context)
--- /dev/null
+++ b/tests/test_log_reader.py
@@ -0,0 +1,76 @@
+"""Log lines of many nodes, merged and explained."""
+
+import json
+
+from cleo.testers.application_tester import ApplicationTester
+
+from ibismount.cli import make_application
+from ibismount.log_reader import (
+    clock_offsets,
+    explain_request,
+    merge_lines,
+    parse_lines,
+)
+
+
+def line(second, node, message, **fields):
+    return json.dumps(
+        {
+            'asctime': f'2026-01-01 10:00:{second:06.3f}'.replace('.', ','),
+            'levelname': 'INFO',
+            'message': message,
+            'node': node,
+            **fields,
+        }
+    )
+
+
+# The clock of node b is two seconds ahead.
+LINES = [
+    line(1, 'a', 'edge: routes in force', version=3),
+    line(1.01, 'c', 'edge: routes in force', version=3),
+    line(3, 'b', 'edge: routes in force', version=3),
+    line(4, 'a', 'feed: store lost', reason='silent'),
+    line(5, 'a', 'dispatch: server gave no answer', request_id='q1'),
+    line(5.1, 'a', 'dispatch: request failed', request_id='q1', code='x'),
+    line(6.5, 'b', 'dispatch: request failed', request_id='q2', code='y'),
+    line(5.6, 'c', 'edge: leaving'),
+]
+
+
+def test_clocks_that_differ_are_brought_together():
+    """Lines of a node whose clock is ahead must not come last."""
+    parsed = parse_lines(LINES)
+    assert abs(clock_offsets(parsed)['b'] - 1.99) < 0.02
+    merged = merge_lines(parsed)
+    order = [row.split()[1] for row in merged]
+    assert order.index('b') < 3
+    assert 'q2' in merged[4]
+
+
+def test_request_is_explained_by_its_lines_and_its_node():
+    """An engineer needs what the node believed when the request failed."""
+    rows = explain_request(parse_lines(LINES), 'q1')
+    assert any('store lost' in row for row in rows)
+    assert 'code=x' in rows[-1]
+    assert not any('q2' in row or 'leaving' in row for row in rows)
+    assert explain_request(parse_lines(LINES), 'q9') == []
+
+
+def test_foreign_lines_are_passed_over():
+    """Collectors add prefixes, and other programs write to the same file."""
+    noise = ['', 'plain text', '{"no": "line"}', '{broken']
+    assert len(parse_lines(['12.5 node-1 ' + LINES[0], *noise])) == 1
+
+
+def test_command_explains_from_files(tmp_path):
+    """`ibismountctl logs explain` reads files of several nodes."""
+    first, second = tmp_path / 'a.log', tmp_path / 'b.log'
+    first.write_text('\n'.join(LINES[:5]))
+    second.write_text('\n'.join(LINES[5:]))
+    tester = ApplicationTester(make_application())
+    assert tester.execute(f'logs explain q1 {first} {second}') == 0
+    assert 'code=x' in tester.io.fetch_output()
+    assert tester.execute(f'logs explain q9 {first}') == 1
+    assert tester.execute(f'logs timeline {first}') == 0
+    assert 'routes in force' in tester.io.fetch_output()
