--- a/ibismount/traffic_budget.py
+++ b/ibismount/traffic_budget.py
@@ -27,6 +27,9 @@
     # window: both can be spent in one window.
     slack_saved: float = 0.35
     slack_refilled: float = 0.35
+    # Fewest extra requests that are saved up: below one, a node in a large
+    # fleet could never send any.
+    saved_least: float = 1.5
     # Part of the saved slack that a fresh process may use: what it used
     # before its restart is not known.
     start_share: float = 0.3
@@ -97,12 +100,12 @@
         if known is None:
             known = ExtraLoadBudget(
                 fraction=options.ratio * options.ratio_used,
-                burst=saved,
+                burst=max(saved, options.saved_least),
                 start=saved * options.start_share,
             )
             self._buckets[service] = known
         else:
-            known.resize(saved)
+            known.resize(max(saved, options.saved_least))
             elapsed_s = now - self._filled_at[service]
             per_s = options.slack * options.slack_refilled / options.window_s
             known.add(elapsed_s * per_s * self._share())
--- a/tests/test_traffic_budget.py
+++ b/tests/test_traffic_budget.py
@@ -116,3 +116,11 @@
     while budget.spend('desk'):
         left += 1
     assert left >= 4
+
+
+def test_node_of_a_large_fleet_can_still_repeat_a_request():
+    """A share of the slack below one request kept a node from any retry."""
+    budget = make(0.001)
+    for _ in range(100):
+        budget.earn('desk')
+    assert budget.spend('desk')
