--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -65,6 +65,9 @@
     # Answers of slower attempts are awaited this long after the outcome, so
     # that their connections can be used again.
     linger_s: float = 0.3
+    # Share of the target for which a lost part waits for the budget. A search
+    # that fails soon can still be asked again in time.
+    budget_wait_share: float = 0.2
     # Pause before a part that found no free connection is tried again.
     connection_pause_s: float = 0.005
     # Time for which an overdue server gets no new request: a usual pause.
@@ -229,9 +232,8 @@
         if extra and not dispatch.budget.spend(
             part.service, urgent=not part.open
         ):
-            # A part without an attempt waits for the budget to fill up.
             if not part.open:
-                self._starved[part] = True
+                self._await_budget(part)
             return False
         for server in ranked:
             if self._send_to(part, server):
@@ -245,6 +247,14 @@
             self._starved[part] = extra
         return False
 
+    def _await_budget(self, part: Part) -> None:
+        """Try a part again when the budget has filled up, for a while."""
+        wait_s = self.route.target_s * self._dispatch.options.budget_wait_share
+        if self._dispatch.now() < self.started_at + wait_s:
+            self._starved[part] = True
+        else:
+            part.exhausted = True
+
     def _send_to(self, part: Part, server: Server) -> bool:
         dispatch = self._dispatch
         sending = _Sending(self, server)
--- a/ibismount/traffic_budget.py
+++ b/ibismount/traffic_budget.py
@@ -25,8 +25,8 @@
     ratio_used: float = 0.85
     # Part of the slack that is saved up, and part that comes back in each
     # window: both can be spent in one window.
-    slack_saved: float = 0.35
-    slack_refilled: float = 0.35
+    slack_saved: float = 0.55
+    slack_refilled: float = 0.2
     # Fewest extra requests that are saved up: below one, a node in a large
     # fleet could never send any.
     saved_least: float = 1.5
@@ -35,7 +35,7 @@
     start_share: float = 0.3
     # Part of the saved slack that is kept for requests that lost their only
     # attempt; a request that is merely late may not use it.
-    urgent_share: float = 0.4
+    urgent_share: float = 0.2
 
 
 class TrafficBudget:
