--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -11,7 +11,11 @@
 from ibismount.change_feed import ChangeFeed
 from ibismount.edge_dispatch import EdgeDispatch, Job
 from ibismount.edge_logs import configure_edge_logs
-from ibismount.edge_settings import EdgeSettings, load_settings
+from ibismount.edge_settings import (
+    EdgeSettings,
+    changed_fields,
+    load_settings,
+)
 from ibismount.errors import ErrorCode, FindingsError
 from ibismount.fleet import Change, Fleet
 from ibismount.handout import nodes_to_name
@@ -136,9 +140,13 @@
 class Edge:
     """One node: its view, its dispatch and its listeners."""
 
-    def __init__(self, cfg: EdgeSettings, rng: random.Random) -> None:
+    def __init__(
+        self, cfg: EdgeSettings, rng: random.Random, *, path: str
+    ) -> None:
         """Build the parts; nothing runs yet."""
         self.cfg = cfg
+        self._path = path
+        self._settings_at = os.stat(path).st_mtime_ns
         self._rng = rng
         self.leaving = False
         self.wire = PlatformWire()
@@ -170,9 +178,7 @@
             placement=Placement(cfg.node.zone, rng),
             pool=self.pool,
             budget=TrafficBudget(
-                BudgetOptions(
-                    ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
-                ),
+                _budget_options(cfg),
                 self.budget_share,
                 now=loop.time,
             ),
@@ -243,6 +249,37 @@
         self.feed.stop()
         log.info('stopped', extra={'store_calls': self.store.calls})
 
+    def reload(self) -> None:
+        """Read the settings file again; a bad file changes nothing."""
+        try:
+            cfg = load_settings(self._path)
+        except FindingsError as exc:
+            log.warning('settings refused', extra={'reason': str(exc)})
+            return
+        changed = changed_fields(self.cfg, cfg)
+        log.info('settings read again', extra={'changed': changed})
+        if not changed:
+            return
+        fixed = [name for name in changed if name.startswith(_FIXED_SECTIONS)]
+        if fixed:
+            # Addresses and identity hold for the life of a process.
+            log.warning('settings need a restart', extra={'fields': fixed})
+        self.cfg.bounds = cfg.bounds
+        self.cfg.node.seeds = cfg.node.seeds
+        self.dispatch.budget.set_options(_budget_options(cfg))
+        self.peers.add_seeds(_seed_members(cfg, _own_member(cfg)))
+
+    def _reload_if_changed(self) -> None:
+        """Notice a settings file that changed without a signal."""
+        try:
+            changed_at = os.stat(self._path).st_mtime_ns
+        except OSError as exc:
+            log.warning('settings unreadable', extra={'reason': str(exc)})
+            return
+        if changed_at != self._settings_at:
+            self._settings_at = changed_at
+            self.reload()
+
     def begin_leaving(self) -> None:
         """Stop being handed out; finish what is under way, then end."""
         if self.leaving:
@@ -286,8 +323,12 @@
 
     async def _housekeep(self) -> None:
         loop = asyncio.get_running_loop()
+        check_at = loop.time()
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
+            if loop.time() >= check_at:
+                check_at = loop.time() + _SETTINGS_CHECK_S
+                self._reload_if_changed()
             self._announce()
             for server in self.fleet.servers.expire(loop.time()):
                 log.info('server gone', extra={'server': server.id})
@@ -296,6 +337,11 @@
 
 # How often a leaving node looks for idle connections, in seconds.
 _LEAVE_POLL_S = 0.1
+# How often the settings file is checked for a change, in seconds: a change may
+# come without a signal.
+_SETTINGS_CHECK_S = 2.0
+# Settings that a running process does not take over.
+_FIXED_SECTIONS = ('listen.', 'store.', 'node.name', 'node.ip', 'node.zone')
 # How often removals that were delayed are carried out, in seconds.
 _HOUSEKEEPING_S = 0.25
 
@@ -330,13 +376,25 @@
     ]
 
 
-def make_edge(cfg: EdgeSettings) -> Edge:
-    """Build a node from its settings, inside a running event loop."""
-    return Edge(cfg, random.Random(f'{cfg.node.name}{os.getpid()}'))
+def _budget_options(cfg: EdgeSettings) -> BudgetOptions:
+    return BudgetOptions(
+        ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
+    )
+
+
+def make_edge(cfg: EdgeSettings, *, path: str) -> Edge:
+    """Build a node from its settings, inside a running event loop.
+
+    Args:
+        cfg: The settings.
+        path: The file that they came from; it is read again when it changes.
+    """
+    rng = random.Random(f'{cfg.node.name}{os.getpid()}')
+    return Edge(cfg, rng, path=path)
 
 
-async def _serve(cfg: EdgeSettings) -> None:
-    edge = make_edge(cfg)
+async def _serve(cfg: EdgeSettings, path: str) -> None:
+    edge = make_edge(cfg, path=path)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, edge.begin_leaving)
     loop.add_signal_handler(signal.SIGHUP, lambda: log.info('settings changed'))
@@ -353,7 +411,7 @@
             sys.stderr.write(f'{finding}\n')
         return 2
     configure_edge_logs('info', node=cfg.node.name)
-    asyncio.run(_serve(cfg))
+    asyncio.run(_serve(cfg, path))
     return 0
 
 
--- a/ibismount/edge_settings.py
+++ b/ibismount/edge_settings.py
@@ -13,6 +13,8 @@
     'ListenSettings',
     'NodeSettings',
     'StoreSettings',
+    'changed_fields',
+    'check_settings',
     'load_settings',
 )
 
@@ -123,6 +125,17 @@
     return EdgeSettings(**sections)
 
 
+def changed_fields(old: EdgeSettings, new: EdgeSettings) -> list[str]:
+    """Return the fields that differ, as ``section.field``."""
+    return [
+        f'{section}.{field.name}'
+        for section, shape in _SECTIONS.items()
+        for field in msgspec.structs.fields(shape)
+        if getattr(getattr(old, section), field.name)
+        != getattr(getattr(new, section), field.name)
+    ]
+
+
 def _section(
     found: Any, shape: type[Section], place: str, findings: list[Finding]
 ) -> Section | None:
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -218,6 +218,10 @@
         self._most_live = 1
         self.followers: set[_Follower] = set()
 
+    def add_seeds(self, seeds: list[Member]) -> None:
+        """Take further nodes that are probably there."""
+        self._membership.seed(seeds)
+
     def members(self) -> list[Member]:
         """Return the nodes that may be handed out, this one included."""
         return list(self._membership.undoubted().values())
--- a/ibismount/traffic_budget.py
+++ b/ibismount/traffic_budget.py
@@ -63,6 +63,13 @@
         self.spent = 0
         self.denied = 0
 
+    def set_options(self, options: BudgetOptions) -> None:
+        """Take new bounds; each service starts as in a fresh process."""
+        if options != self._options:
+            self._options = options
+            self._buckets.clear()
+            self._filled_at.clear()
+
     def earn(self, service: str) -> None:
         """Count a first request."""
         self._bucket(service).earn(1)
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -377,6 +377,37 @@
     run(tmp_path, main)
 
 
+def test_settings_are_read_again_and_bad_ones_refused(tmp_path):
+    """A change comes by signal or without one; a bad file must not apply."""
+
+    async def main(town, client):
+        ip = town.ips[0]
+        path = town.path / f'{ip}.yaml'
+        settings = json.loads(path.read_text())
+
+        def logged(message):
+            return [one for one in town.logs[ip] if one['message'] == message]
+
+        async def read_again():
+            return bool(logged('edge: settings read again'))
+
+        settings['bounds']['retry_slack'] = 50
+        path.write_text(json.dumps(settings))
+        await town.until(read_again)
+        changed = logged('edge: settings read again')[0]['changed']
+        assert changed == ['bounds.retry_slack']
+        path.write_text('{"node": 7}')
+        town.edges[ip].send_signal(signal.SIGHUP)
+
+        async def refused():
+            return bool(logged('edge: settings refused'))
+
+        await town.until(refused)
+        assert (await town.ask(client, ip))[1].status_code == 200
+
+    run(tmp_path, main)
+
+
 def test_metrics_are_served_as_text(tmp_path):
     """Counters must be readable by the usual scrapers."""
 
