Encode a request once for all its servers and keep its timer

Each part encoded the whole request, ranked its servers twice and each answer set the request's timer anew. Change: the common head is kept, the check for servers does not rank, and a timer that fires early only decides again.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -148,7 +148,7 @@
         """Send every part once, unless too few can be had at all."""
         parts = self.gathering.parts
         for part in parts:
-            part.exhausted = not self._dispatch.ranked(part)
+            part.exhausted = not self._dispatch.has_server(part)
         if self.gathering.decide(self.started_at) is Decision.WAIT:
             for part in parts:
                 if not part.exhausted:
@@ -302,7 +302,11 @@
             moment = min(
                 moment, now + self._dispatch.options.connection_pause_s
             )
-        self._stop_timer()
+        if self._timer is not None:
+            # A timer that fires early only decides once more.
+            if self._timer.when() <= moment:
+                return
+            self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_at(moment, self._tick)
 
     def _tick(self) -> None:
@@ -450,6 +454,13 @@
         job.start()
         return None if job.ended else job
 
+    def has_server(self, part: Part) -> bool:
+        """Tell whether any server may get a part."""
+        return any(
+            one.id not in part.tried and one.zone not in self.fleet.zones_out
+            for one in self.fleet.servers.of_service(part.service)
+        )
+
     def ranked(self, part: Part) -> list[Server]:
         """Return the servers that may get a part, best first."""
         servers = list(self.fleet.servers.of_service(part.service))
--- a/ibismount/platform/wire.py
+++ b/ibismount/platform/wire.py
@@ -100,17 +100,14 @@
         self, req: CallerRequest, server: Server, remaining_s: float
     ) -> bytes:
         """Encode a request for a backend server."""
-        lines = [req.method + b' ' + req.target + b' HTTP/1.1']
-        lines.extend(
-            name + b': ' + text
-            for name, text in req.headers
-            if name not in _OWN_REQUEST_HEADERS
+        head = req.encoded_head or _encode_head(req)
+        own = b'%b: %d\r\n%b: %b\r\n\r\n' % (
+            _DEADLINE,
+            max(1, int(remaining_s * 1000)),
+            _EXPECTED_SERVER,
+            server.id.encode(),
         )
-        lines.append(b'%b: %d' % (_DEADLINE, max(1, int(remaining_s * 1000))))
-        lines.append(_EXPECTED_SERVER + b': ' + server.id.encode())
-        if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
-            lines.append(b'content-length: %d' % len(req.body))
-        return b'\r\n'.join(lines) + b'\r\n\r\n' + req.body
+        return head + own + req.body
 
     def read_answer(self, req: CallerRequest, raw: RawAnswer) -> ServerAnswer:
         """Decode a backend server's answer to a request."""
@@ -165,6 +162,20 @@
         return _encode(status, headers, body, last=last)
 
 
+def _encode_head(req: CallerRequest) -> bytes:
+    """Encode and keep what is the same for every server of a request."""
+    lines = [req.method + b' ' + req.target + b' HTTP/1.1']
+    lines.extend(
+        name + b': ' + text
+        for name, text in req.headers
+        if name not in _OWN_REQUEST_HEADERS
+    )
+    if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'content-length: %d' % len(req.body))
+    req.encoded_head = b'\r\n'.join(lines) + b'\r\n'
+    return req.encoded_head
+
+
 def read_resolve(target: bytes) -> tuple[str, str]:
     """Return the area and availability zone of a caller that asks."""
     query = parse_qs(target.partition(b'?')[2].decode('latin-1'))
--- a/ibismount/wire_format.py
+++ b/ibismount/wire_format.py
@@ -37,6 +37,8 @@
     headers: Headers
     body: bytes
     deadline_s: float
+    # What a face keeps of the encoded request for further servers.
+    encoded_head: bytes = b''
 
 
 class RequestError(Exception):
