Bound what a node keeps at a server; unreachable servers come last

Change: a node keeps at most its share of 1.5 times the slots at a server, so that parts wait where they can still go elsewhere; a server that can't be reached is the last resort.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -84,6 +84,8 @@
 # Share of a server's connections that the nodes use together; the rest is
 # for nodes that join before all others know of them.
 _CONNECTION_SHARE = 0.85
+# Requests that all nodes together keep at a server, as a multiple of its slots.
+_QUEUED_SHARE = 1.5
 # Bounds of the time after which a rejected caller comes back, in seconds and
 # as a share of its deadline. Callers honour up to a third of what is left; a
 # node that just started needs most of it.
@@ -257,6 +259,8 @@
 
     def _send_to(self, part: Part, server: Server) -> bool:
         dispatch = self._dispatch
+        if dispatch.is_full(server):
+            return False
         sending = _Sending(self, server)
         sending.pending = dispatch.pool.start(
             (server.host, server.port),
@@ -472,6 +476,16 @@
             cold=self.fleet.cold_ids(servers),
         )
 
+    def is_full(self, server: Server) -> bool:
+        """Tell whether this node's share of a server is in use.
+
+        What is sent beyond the slots only waits there, mostly until nobody
+        needs it any more, and a server that pauses gets nothing further.
+        """
+        share = server.slots * _QUEUED_SHARE / self._node_count()
+        in_flight = self.placement.health(server).in_flight
+        return in_flight >= max(1, round(share))
+
     def max_open(self, server: Server) -> int:
         """Return this node's share of a server's connections."""
         service = self.fleet.table.services.get(server.service)
--- a/ibismount/server_health.py
+++ b/ibismount/server_health.py
@@ -31,6 +31,10 @@
 STEP_S = 0.05
 
 
+# Above any other cost, so that a server which can't be reached comes last.
+_LAST_RESORT = 10_000
+
+
 class ServerHealth:
     """What one node has seen of one backend server.
 
@@ -101,7 +105,7 @@
         failures = 1 + self._options.failure_weight * self._failures
         cost = self._ratio * load * failures
         if now < self._avoid_until:
-            return cost + self._options.ratio_most * 2
+            return cost + _LAST_RESORT
         if now < self.suspect_until:
             return cost + self._options.ratio_most
         return cost
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -393,3 +393,28 @@
         await asyncio.gather(*others)
 
     run_jumping(main)
+
+
+@pytest.mark.parametrize('slower', [4, 10])
+def test_slow_shard_is_not_buried_under_requests_that_come_too_late(slower):
+    """A slow shard's queue filled up until it answered nothing in time.
+
+    Three times a node's load of the first site's fresh-1886 at 10 s.
+    """
+
+    async def main():
+        world = World(nodes=12)
+        for one in world.of('s3'):
+            one.work_s = 0.03 * slower
+        futs = []
+        most = 0
+        for _ in range(60):
+            futs.append(world.submit()[2])
+            await asyncio.sleep(0.04)
+            for one in world.of('s3'):
+                most = max(most, one.running + len(one.waiting))
+        outcomes = await asyncio.gather(*futs)
+        assert most <= 1
+        assert {one.kind for one in outcomes} == {OutcomeKind.MERGED}
+
+    run_jumping(main)
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -105,3 +105,14 @@
     placement.health(among[0]).answered(0, 9)
     chosen = [best(placement, step / 5, among) for step in range(1, 12 * 5)]
     assert 'i-0' not in chosen
+
+
+def test_server_that_cannot_be_reached_comes_after_slow_and_full_ones():
+    """A dead server was chosen 265 times, since its siblings rejected work."""
+    placement, among = make(), servers()
+    for step in range(20):
+        for one in among[1:]:
+            placement.health(one).answered(step / 10, 20)
+            placement.health(one).failed(step / 10)
+    placement.health(among[0]).lost(2)
+    assert best(placement, 2.1, among) != 'i-0'
