--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 demo: setup
 	$(PY) -m standins.demo
+	$(PY) -m standins.edge_demo
 
 bench: setup
 	$(PY) -m bench.policy
--- /dev/null
+++ b/standins/edge_fleet.py
@@ -0,0 +1,248 @@
+"""Edge processes between a stand-in store and stand-in servers.
+
+The tests and the demo run the real program on loopback addresses; the store and
+the backend servers live in the calling process, which can make them fail.
+"""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import sys
+from collections.abc import Awaitable, Callable
+
+import httpx
+
+from standins.object_store import ObjectStore, serve_store
+from standins.shard_server import ShardServer, serve_shard
+
+__all__ = ('SHARDS', 'EdgeFleet')
+
+ROOT = pathlib.Path(__file__).parent.parent
+SHARDS = [f's{number}' for number in range(4)]
+START_S = 10  # generous: CI machines are busy
+END_S = 0.1  # for connections of ended processes to close
+
+# Below the range of ports that the system gives to outgoing connections.
+PORTS = itertools.count(20000)
+
+
+def own_network() -> str:
+    """Return the start of loopback addresses that only this process uses.
+
+    Tests run in parallel processes; on shared addresses one of them took a
+    port of another between its choice and its use.
+    """
+    pid = os.getpid()
+    return f'127.{1 + (pid >> 8) % 250}.{pid % 256}'
+
+
+class EdgeFleet:
+    """A store and servers in this process, and edge processes.
+
+    Args:
+        path: Folder for the settings files.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        """Start nothing yet."""
+        self.path = path
+        self.store = ObjectStore()
+        self.servers: list[ShardServer] = []
+        self.edges: dict[str, asyncio.subprocess.Process] = {}
+        self.logs: dict[str, list[dict]] = collections.defaultdict(list)
+        self.ips: list[str] = []
+        self._count = 0
+        self._readers: set[asyncio.Task] = set()
+
+    async def start(self, edges: int = 3) -> None:
+        """Start everything and wait until all nodes are ready."""
+        self.store_server = await serve_store(self.store, '127.0.0.1', 0)
+        self.store_port = self.store_server.sockets[0].getsockname()[1]
+        for service in (*SHARDS, 'lookup'):
+            for zone in ('z0', 'z1', 'z2'):
+                await self.add_server(service, zone)
+        await self.configure(1)
+        # The first port serves peers and is the same on all nodes.
+        self.ports = list(itertools.islice(PORTS, 5))
+        network = own_network()
+        self.ips = [f'{network}.{10 + number}' for number in range(edges)]
+        for ip in self.ips:
+            await self.start_edge(ip)
+        for ip in self.ips:
+            await self.until_ready(ip)
+
+    async def add_server(self, service: str, zone: str) -> None:
+        """Start a backend server and register it."""
+        one = ShardServer(f'{service}-{zone}', service)
+        listener = await serve_shard(one, '127.0.0.1')
+        one.port = listener.sockets[0].getsockname()[1]
+        one.zone = zone
+        self.servers.append(one)
+        await self.register(one)
+
+    async def register(self, one: ShardServer, state: str = 'ready') -> None:
+        """Write a server's entry."""
+        await self.store.put(
+            'servers',
+            one.id,
+            {
+                'backend': one.service,
+                'address': f'127.0.0.1:{one.port}',
+                'zone': one.zone,
+                'version': 'v1',
+                'max-concurrency': one.slots,
+                'state': state,
+                'cold-remaining-ms': 0,
+                'sequence': 1,
+                'born': 1,
+            },
+        )
+
+    async def configure(self, version: int) -> None:
+        """Write a version; its number is part of the booking's path."""
+        route = {
+            'hostname': 'a.example',
+            'timeout-ms': 3000,
+            'attempts': 2,
+            'priority': 1,
+        }
+        search = {
+            **route,
+            'name': 'search',
+            'path-prefix': '/search/',
+            'type': 'idempotent',
+            'target-latency-ms': 1000,
+            'fanout-services': SHARDS,
+            'top-k': 3,
+            'min-shard-ratio': 0.75,
+        }
+        booking = {
+            **route,
+            'name': 'booking',
+            'path-prefix': f'/booking{version}/',
+            'type': 'non_idempotent',
+            'target-latency-ms': 1000,
+            'backend': 'lookup',
+        }
+        backends = [
+            {'name': name, 'max-connections': 60}
+            for name in (*SHARDS, 'lookup')
+        ]
+        await self.store.put(
+            'config',
+            'main',
+            {
+                'version': version,
+                'routes': [search, booking],
+                'backends': backends,
+                'limits': {},
+            },
+        )
+
+    async def start_edge(self, ip: str) -> None:
+        """Start the edge process of one address."""
+        peer, callers, readiness, directory, metrics = self.ports
+        settings = {
+            'node': {
+                'name': ip,
+                'ip': ip,
+                'zone': f'z{int(ip[-1]) % 3}',
+                'area': 'r',
+                'peer_ports': [peer, peer],
+                'seeds': [f'{one}:1' for one in self.ips[:2]],
+            },
+            'listen': {
+                'callers': f'{ip}:{callers}',
+                'readiness': f'{ip}:{readiness}',
+                'directory': f'{ip}:{directory}',
+                'metrics': f'{ip}:{metrics}',
+            },
+            'store': {'address': f'127.0.0.1:{self.store_port}'},
+            'bounds': {'retry_slack': 100, 'grace_s': 6},
+        }
+        path = self.path / f'{ip}.yaml'
+        path.write_text(json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'ibismount.edge',
+            str(path),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.edges[ip] = process
+        reader = asyncio.create_task(self._read(ip, process))
+        self._readers.add(reader)
+        reader.add_done_callback(self._readers.discard)
+
+    async def _read(self, ip: str, process: asyncio.subprocess.Process) -> None:
+        async for line in process.stdout:
+            self.logs[ip].append(json.loads(line))
+
+    async def until(self, check: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until a check holds."""
+        async with asyncio.timeout(START_S):
+            while not await check():
+                await asyncio.sleep(0.05)
+
+    async def until_ready(self, ip: str) -> None:
+        """Wait until a node may be sent callers."""
+
+        async def ready() -> bool:
+            with contextlib.suppress(httpx.TransportError):
+                url = f'http://{ip}:{self.ports[2]}/readiness'
+                async with httpx.AsyncClient() as client:
+                    return (await client.get(url)).status_code == 200
+            return False
+
+        await self.until(ready)
+
+    async def addresses(self, ip: str) -> list[str]:
+        """Return the addresses that a node tells callers."""
+        url = f'http://{ip}:{self.ports[3]}/resolve?name=a&region=r&zone=z0'
+        async with httpx.AsyncClient() as client:
+            answer = await client.get(url)
+        if answer.status_code != 200:
+            return []
+        return sorted(answer.json()['addrs'])
+
+    async def ask(
+        self,
+        client: httpx.AsyncClient,
+        ip: str,
+        path: str = '/search/x',
+        method: str = 'GET',
+    ) -> tuple[str, httpx.Response]:
+        """Send a request; return its id and its answer."""
+        self._count += 1
+        name = f'q{self._count:05}'
+        answer = await client.request(
+            method,
+            f'http://{ip}:{self.ports[1]}{path}',
+            headers={
+                'Host': 'a.example',
+                'Ibismount-Request-Id': name,
+                'Ibismount-Deadline-Ms': '3000',
+            },
+        )
+        return name, answer
+
+    def runs(self, name: str) -> int:
+        """Return how often all servers together ran a request."""
+        return sum(one.ran[name] for one in self.servers)
+
+    async def stop(self) -> None:
+        """End the processes that were started here."""
+        for process in self.edges.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        # Ends the watches that wait for nobody any more.
+        self.store.fault = ''
+        await self.store.forget_history()
+        await asyncio.sleep(END_S)
+        self.store_server.close()
