--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -32,7 +32,6 @@
     encode_addresses,
     encode_status,
     encode_text,
-    read_resolve,
 )
 from ibismount.routes import CallerLimits, RouteTable
 from ibismount.server_pool import ServerPool
@@ -121,10 +120,9 @@
         """Answer at once."""
         path = raw.target.partition(b'?')[0]
         if path == RESOLVE_PATH:
-            _, zone = read_resolve(raw.target)
-            addresses = self._edge.addresses(zone)
-            status = encode_addresses(addresses, ADDRESS_KEEP_S)
-            conn.answer(status if addresses else encode_status(503))
+            addresses = self._edge.addresses()
+            answer = encode_addresses(addresses, ADDRESS_KEEP_S)
+            conn.answer(answer if addresses else encode_status(503))
         elif path == READINESS_PATH:
             conn.answer(encode_status(200 if self._edge.serving else 503))
         elif path == METRICS_PATH:
@@ -172,6 +170,9 @@
             ),
         )
         self._started_at = loop.time()
+        self._named: list[Member] = []
+        # The nodes of this one's kind, and their part of a budget.
+        self._sharing: tuple[int, float] = (NODES_UNKNOWN, 1)
         self.pool = ServerPool()
         self.dispatch = EdgeDispatch(
             fleet=self.fleet,
@@ -198,42 +199,43 @@
 
     def node_count(self) -> int:
         """Return the number of nodes that share each server."""
-        return self._sharing()[0]
+        return self._sharing[0]
 
     def budget_share(self) -> float:
         """Return this node's part of a budget of the whole fleet."""
-        count, share = self._sharing()
+        count, share = self._sharing
         return share / count
 
-    def _sharing(self) -> tuple[int, float]:
-        """Return the nodes of this one's kind, and their part of a budget."""
+    def _find_named(self) -> None:
+        """Find the nodes to name, and what this node shares with them.
+
+        Requests ask for both many times, so they are kept between the ticks
+        of the housekeeping.
+        """
+        members = self.peers.members()
+        own_id = self.cfg.node.ip
+        if not self.serving:
+            # What others said of this node may be late.
+            members = [one for one in members if one.id != own_id]
+        self._named = nodes_to_name(members)
         settled_at = self._started_at + SETTLE_S
-        if asyncio.get_running_loop().time() < settled_at:
-            return NODES_UNKNOWN, 1
         most = self.peers.most_live()
-        named = self._named()
-        if len(named) >= most or not named:
-            return most, 1
-        own_id = self.cfg.node.ip
-        if any(one.id == own_id for one in named):
-            return len(named), NAMED_SHARE
-        return most, 1 - NAMED_SHARE
+        if asyncio.get_running_loop().time() < settled_at:
+            self._sharing = (NODES_UNKNOWN, 1)
+        elif len(self._named) >= most or not self._named:
+            self._sharing = (most, 1)
+        elif any(one.id == own_id for one in self._named):
+            self._sharing = (len(self._named), NAMED_SHARE)
+        else:
+            self._sharing = (most, 1 - NAMED_SHARE)
 
-    def addresses(self, zone: str) -> list[str]:
+    def addresses(self) -> list[str]:
         """Return the addresses that a caller may use."""
-        found = [one.api_address for one in self._named()]
+        found = [one.api_address for one in self._named]
         if len(found) > ADDRESSES_MOST:
             found = self._rng.sample(found, ADDRESSES_MOST)
         return found
 
-    def _named(self) -> list[Member]:
-        members = self.peers.members()
-        if self.serving:
-            return nodes_to_name(members)
-        # What others said of this node may be late.
-        own_id = self.cfg.node.ip
-        return nodes_to_name(one for one in members if one.id != own_id)
-
     async def run(self) -> None:
         """Serve until a signal ends the process."""
         await self._listen(self.cfg.listen.callers, self._serving_site)
@@ -286,6 +288,7 @@
             return
         self.leaving = True
         self.peers.leave()
+        self._find_named()
         log.info('leaving', extra={'under_way': len(self.dispatch.jobs)})
         self._leaving_task = asyncio.create_task(self._leave())
 
@@ -298,6 +301,7 @@
     def _announce(self) -> None:
         if self.serving:
             self.peers.announce(self.cfg.listen.callers)
+        self._find_named()
 
     async def _leave(self) -> None:
         loop = asyncio.get_running_loop()
--- a/ibismount/platform/wire.py
+++ b/ibismount/platform/wire.py
@@ -1,7 +1,6 @@
 """Translate requests, answers and address lists of the platform."""
 
 import http
-from urllib.parse import parse_qs
 
 import msgspec
 
@@ -26,7 +25,6 @@
     'encode_addresses',
     'encode_status',
     'encode_text',
-    'read_resolve',
 )
 
 READINESS_PATH = b'/readiness'
@@ -176,12 +174,6 @@
     return req.encoded_head
 
 
-def read_resolve(target: bytes) -> tuple[str, str]:
-    """Return the area and availability zone of a caller that asks."""
-    query = parse_qs(target.partition(b'?')[2].decode('latin-1'))
-    return (query.get('region', [''])[0], query.get('zone', [''])[0])
-
-
 def encode_addresses(addresses: list[str], keep_s: float) -> bytes:
     """Encode the addresses that a caller may use, and how long."""
     body = msgspec.json.encode({'addrs': addresses, 'ttl_s': keep_s})
