--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -16,6 +16,7 @@
 
 import httpx
 
+from standins.faulty_proxy import FaultyProxy
 from standins.object_store import ObjectStore, serve_store
 from standins.shard_server import ShardServer, serve_shard
 
@@ -55,13 +56,17 @@
         self.edges: dict[str, asyncio.subprocess.Process] = {}
         self.logs: dict[str, list[dict]] = collections.defaultdict(list)
         self.ips: list[str] = []
+        self.proxies: dict[str, FaultyProxy] = {}
         self._count = 0
         self._readers: set[asyncio.Task] = set()
 
     async def start(self, edges: int = 3) -> None:
         """Start everything and wait until all nodes are ready."""
         self.store_server = await serve_store(self.store, '127.0.0.1', 0)
-        self.store_port = self.store_server.sockets[0].getsockname()[1]
+        self.store_proxy = FaultyProxy(
+            self.store_server.sockets[0].getsockname()[1]
+        )
+        self._store_port = await self.store_proxy.start()
         for service in (*SHARDS, 'lookup'):
             for zone in ('z0', 'z1', 'z2'):
                 await self.add_server(service, zone)
@@ -79,7 +84,9 @@
         """Start a backend server and register it."""
         one = ShardServer(f'{service}-{zone}', service)
         listener = await serve_shard(one, '127.0.0.1')
-        one.port = listener.sockets[0].getsockname()[1]
+        proxy = FaultyProxy(listener.sockets[0].getsockname()[1])
+        self.proxies[one.id] = proxy
+        one.port = await proxy.start()
         one.zone = zone
         self.servers.append(one)
         await self.register(one)
@@ -102,8 +109,10 @@
             },
         )
 
-    async def configure(self, version: int) -> None:
-        """Write a version; its number is part of the booking's path."""
+    async def configure(
+        self, version: int, *, bookings: int | None = None
+    ) -> None:
+        """Write a version; the booking's path bears a number, mostly its."""
         route = {
             'hostname': 'a.example',
             'timeout-ms': 3000,
@@ -123,7 +132,7 @@
         booking = {
             **route,
             'name': 'booking',
-            'path-prefix': f'/booking{version}/',
+            'path-prefix': f'/booking{bookings or version}/',
             'type': 'non_idempotent',
             'target-latency-ms': 1000,
             'backend': 'lookup',
@@ -161,7 +170,7 @@
                 'directory': f'{ip}:{directory}',
                 'metrics': f'{ip}:{metrics}',
             },
-            'store': {'address': f'127.0.0.1:{self.store_port}'},
+            'store': {'address': f'127.0.0.1:{self._store_port}'},
             'bounds': {'retry_slack': 100, 'grace_s': 6},
         }
         path = self.path / f'{ip}.yaml'
@@ -218,9 +227,28 @@
         method: str = 'GET',
     ) -> tuple[str, httpx.Response]:
         """Send a request; return its id and its answer."""
+        name = self.next_name()
+        return name, await self.send(client, ip, name, path, method)
+
+    def next_name(self) -> str:
+        """Return an id for a request."""
         self._count += 1
-        name = f'q{self._count:05}'
-        answer = await client.request(
+        return f'q{self._count:05}'
+
+    async def send(
+        self,
+        client: httpx.AsyncClient,
+        ip: str,
+        name: str,
+        path: str,
+        method: str,
+    ) -> httpx.Response:
+        """Send a request under an id.
+
+        Raises:
+            httpx.HTTPError: There was no answer.
+        """
+        return await client.request(
             method,
             f'http://{ip}:{self.ports[1]}{path}',
             headers={
@@ -229,7 +257,6 @@
                 'Ibismount-Deadline-Ms': '3000',
             },
         )
-        return name, answer
 
     def runs(self, name: str) -> int:
         """Return how often all servers together ran a request."""
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -146,8 +146,12 @@
     try:
         while await _serve_call(store, conn, reader, writer):
             conn.start_next_cycle()
-    except (ConnectionError, h11.RemoteProtocolError):
-        pass  # the caller left in the middle of a call
+    except (
+        asyncio.CancelledError,  # the stand-in ends
+        ConnectionError,
+        h11.RemoteProtocolError,
+    ):
+        pass  # or the caller left in the middle of a call
     finally:
         writer.close()
 
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -68,8 +68,12 @@
     try:
         while await _serve_request(server, conn, reader, writer):
             conn.start_next_cycle()
-    except (ConnectionError, h11.RemoteProtocolError):
-        pass  # the node left in the middle of a request
+    except (
+        asyncio.CancelledError,  # the stand-in ends
+        ConnectionError,
+        h11.RemoteProtocolError,
+    ):
+        pass  # or the node left in the middle of a request
     finally:
         writer.close()
 
