Refuse settings that hold a key twice

Cause: YAML takes the last of two equal keys, so a second platform block silently replaced the first. Change: both lines are reported; the new test failed before.

--- a/ibismount/settings.py
+++ b/ibismount/settings.py
@@ -150,17 +150,47 @@
 
 def _parse_yaml(text: str, place: str) -> Any:
     try:
+        repeated = _repeated_keys(yaml.compose(text, yaml.SafeLoader), place)
         fields = yaml.safe_load(text)
     except yaml.YAMLError as exc:
         mark = getattr(exc, 'problem_mark', None)
         line = f':{mark.line + 1}' if mark else ''
         problem = getattr(exc, 'problem', None) or 'not readable'
         raise _invalid(f'{place}{line}', f'not YAML: {problem}') from exc
+    if repeated:
+        raise FindingsError(repeated)
     if not isinstance(fields, dict):
         raise _invalid(place, 'the top level must be a mapping')
     return fields
 
 
+def _repeated_keys(
+    node: yaml.Node | None, place: str, path: str = ''
+) -> list[Finding]:
+    """Find keys that stand twice in a mapping; YAML takes the last one."""
+    found: list[Finding] = []
+    if isinstance(node, yaml.SequenceNode):
+        for number, held in enumerate(node.value):
+            found.extend(_repeated_keys(held, place, f'{path}.{number}'))
+    if not isinstance(node, yaml.MappingNode):
+        return found
+    lines: dict[str, int] = {}
+    for key, held in node.value:
+        line = key.start_mark.line + 1
+        here = f'{path}.{key.value}'
+        if key.value in lines:
+            message = f'stands twice; first in line {lines[key.value]}'
+            found.append(
+                Finding(
+                    ErrorCode.SETTINGS_INVALID, f'{place}:{line}{here}', message
+                )
+            )
+        else:
+            lines[key.value] = line
+        found.extend(_repeated_keys(held, place, here))
+    return found
+
+
 def load_settings(path: str) -> Settings:
     """Read and check a settings file; raise as `parse_settings` does."""
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -47,6 +47,19 @@
     assert caught.value.findings[0].place == 'n1.yaml:2'
 
 
+def test_repeated_keys_name_both_lines():
+    """Guards against a second section that silently replaces the first."""
+    text = 'platform:\n  url: a\nnode:\n  id: n\n  id: m\nplatform: {}\n'
+    with pytest.raises(FindingsError) as caught:
+        parse_settings(text, place='n1.yaml')
+    assert [
+        (finding.place, finding.message) for finding in caught.value.findings
+    ] == [
+        ('n1.yaml:5.node.id', 'stands twice; first in line 4'),
+        ('n1.yaml:6.platform', 'stands twice; first in line 1'),
+    ]
+
+
 def test_reference_page_is_current():
     """Guards against a settings page that lags behind the models."""
     page = ROOT.joinpath('docs', 'SETTINGS.md').read_text(encoding='utf-8')
