Build the edge's stand-ins on the HTTP connection that existed

Read-through: the stand-ins of the store and of the shard servers each had an h11 loop of their own beside standins/_http_server.py. They now share it, which also makes a shard server drop a request whose caller left. The tests' fleet is called a fleet.

--- a/standins/_http_server.py
+++ b/standins/_http_server.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 server connection over h11 and anyio."""
 
+import asyncio
 import json
 import socket
 import struct
@@ -10,7 +11,13 @@
 import anyio.abc
 import h11
 
-__all__ = ('HttpRequest', 'HttpResponse', 'ServerConnection', 'json_response')
+__all__ = (
+    'HttpRequest',
+    'HttpResponse',
+    'ServerConnection',
+    'json_response',
+    'listen',
+)
 
 _READ_SIZE: Final = 65536
 _BROKEN: Final = (
@@ -53,6 +60,21 @@
     return HttpResponse(status, headers or [], json.dumps(body).encode())
 
 
+async def listen(
+    host: str,
+    port: int,
+    handle: Callable[[anyio.abc.SocketStream], Awaitable[None]],
+) -> tuple[int, asyncio.Task[None]]:
+    """Serve connections in a task of the running asyncio loop.
+
+    Returns:
+        The port, and the task; cancelling it closes all connections.
+    """
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    return port, asyncio.create_task(listener.serve(handle))
+
+
 class ServerConnection:
     """Answer requests one after the other until the client leaves.
 
--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -25,7 +25,6 @@
 ROOT = pathlib.Path(__file__).parent.parent
 SHARDS = [f's{number}' for number in range(4)]
 START_S = 10  # generous: CI machines are busy
-END_S = 0.1  # for connections of ended processes to close
 
 # Below the range of ports that the system gives to outgoing connections.
 PORTS = itertools.count(20000)
@@ -59,13 +58,13 @@
         self.proxies: dict[str, FaultyProxy] = {}
         self._count = 0
         self._readers: set[asyncio.Task] = set()
+        self._tasks: list[asyncio.Task] = []
 
     async def start(self, edges: int = 3) -> None:
         """Start everything and wait until all nodes are ready."""
-        self.store_server = await serve_store(self.store, '127.0.0.1', 0)
-        self.store_proxy = FaultyProxy(
-            self.store_server.sockets[0].getsockname()[1]
-        )
+        port, task = await serve_store(self.store, '127.0.0.1', 0)
+        self._tasks.append(task)
+        self.store_proxy = FaultyProxy(port)
         self._store_port = await self.store_proxy.start()
         for service in (*SHARDS, 'lookup'):
             for zone in ('z0', 'z1', 'z2'):
@@ -83,8 +82,9 @@
     async def add_server(self, service: str, zone: str) -> None:
         """Start a backend server and register it."""
         one = ShardServer(f'{service}-{zone}', service)
-        listener = await serve_shard(one, '127.0.0.1')
-        proxy = FaultyProxy(listener.sockets[0].getsockname()[1])
+        port, task = await serve_shard(one, '127.0.0.1')
+        self._tasks.append(task)
+        proxy = FaultyProxy(port)
         self.proxies[one.id] = proxy
         one.port = await proxy.start()
         one.zone = zone
@@ -268,8 +268,6 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
-        # Ends the watches that wait for nobody any more.
-        self.store.fault = ''
-        await self.store.forget_history()
-        await asyncio.sleep(END_S)
-        self.store_server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -15,12 +15,19 @@
 import sys
 from urllib.parse import parse_qs
 
-import h11
+import anyio.abc
+
+from standins._http_server import (
+    HttpRequest,
+    HttpResponse,
+    ServerConnection,
+    json_response,
+    listen,
+)
 
 __all__ = ('ObjectStore', 'serve_store')
 
 PAGE = 50  # objects in one answer to a list
-READ_BYTES = 65536
 
 
 class ObjectStore:
@@ -137,78 +144,50 @@
             self._changed.notify_all()
 
 
-async def _serve_connection(
-    store: ObjectStore,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    conn = h11.Connection(h11.SERVER)
-    try:
-        while await _serve_call(store, conn, reader, writer):
-            conn.start_next_cycle()
-    except (
-        asyncio.CancelledError,  # the stand-in ends
-        ConnectionError,
-        h11.RemoteProtocolError,
-    ):
-        pass  # or the caller left in the middle of a call
-    finally:
-        writer.close()
-
-
-async def _serve_call(
-    store: ObjectStore,
-    conn: h11.Connection,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    """Serve one call; return whether another may follow."""
-    method, target, body = '', '', b''
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            conn.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            method, target = event.method.decode(), event.target.decode()
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage):
-            break
-        else:
-            return False
-    status, found = await store.answer(method, target, body)
-    if target != '/faults' and store.fault == 'silent':
-        await reader.read()
-        return False
-    if target != '/faults' and store.fault == 'reset':
-        writer.transport.abort()
-        return False
-    content = json.dumps(found).encode()
-    if store.fault == 'garbage':
-        content = content[: len(content) // 2]
-    headers = [('content-length', str(len(content)))]
-    writer.write(conn.send(h11.Response(status_code=status, headers=headers)))
-    writer.write(conn.send(h11.Data(data=content)))
-    writer.write(conn.send(h11.EndOfMessage()))
-    await writer.drain()
-    return conn.our_state is h11.DONE
+class _StoreConnection(ServerConnection):
+    """One connection, with the store's fault applied to each answer."""
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, store: ObjectStore
+    ) -> None:
+        """Take over an accepted connection."""
+        super().__init__(stream)
+        self._store = store
+
+    async def respond(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        status, found = await self._store.answer(
+            request.method, request.target, request.body
+        )
+        response = json_response(status, found)
+        if request.target == '/faults':
+            return response
+        fault = self._store.fault
+        if fault == 'reset':
+            self.reset()
+        self.silent = fault == 'silent'
+        if fault == 'garbage':
+            half = response.body[: len(response.body) // 2]
+            return response._replace(body=half)
+        return response
 
 
 async def serve_store(
     store: ObjectStore, host: str, port: int
-) -> asyncio.Server:
-    """Listen for calls."""
-    return await asyncio.start_server(
-        lambda reader, writer: _serve_connection(store, reader, writer),
-        host,
-        port,
-    )
+) -> tuple[int, asyncio.Task]:
+    """Listen for calls; return the port and the task that serves."""
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        conn = _StoreConnection(stream, store)
+        await conn.serve(conn.respond)
+
+    return await listen(host, port, handle)
 
 
 async def _main(address: str) -> None:
     host, _, port = address.rpartition(':')
-    server = await serve_store(ObjectStore(), host, int(port))
-    await server.serve_forever()
+    _, task = await serve_store(ObjectStore(), host, int(port))
+    await task
 
 
 if __name__ == '__main__':
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -1,18 +1,25 @@
 """Stand-in of a backend server in the form that the edge program speaks.
 
-It has slots and a short queue, stops at the deadline it is given, checks that
-it is the server that was meant, and counts how often each request ran.
+It has slots and a short queue, drops a request whose connection closes, checks
+that it is the server that was meant, and counts how often each request ran.
 """
 
 import asyncio
 import collections
 import dataclasses
 
-import h11
+import anyio.abc
+
+from standins._http_server import (
+    HttpRequest,
+    HttpResponse,
+    ServerConnection,
+    listen,
+)
 
 __all__ = ('ShardServer', 'serve_shard')
 
-READ_BYTES = 65536
+_EXTRA = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno'
 
 
 @dataclasses.dataclass(eq=False)
@@ -28,121 +35,79 @@
     slots: int = 4
     queue: int = 8
     fault: str = ''
-    running: int = 0
     waiting: int = 0
     ran: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    free: asyncio.Condition = dataclasses.field(
-        default_factory=asyncio.Condition
-    )
+
+    def __post_init__(self) -> None:
+        """Start with all slots free."""
+        self._free = asyncio.Semaphore(self.slots)
 
     async def run(self, request_id: str) -> bool:
         """Run a request; return False when it is rejected."""
-        if self.running >= self.slots:
-            if self.waiting >= self.queue:
-                return False
-            self.waiting += 1
-            try:
-                async with self.free:
-                    await self.free.wait_for(lambda: self.running < self.slots)
-            finally:
-                self.waiting -= 1
-        self.running += 1
-        self.ran[request_id] += 1
+        if self._free.locked() and self.waiting >= self.queue:
+            return False
+        self.waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.waiting -= 1
         try:
+            self.ran[request_id] += 1
             await asyncio.sleep(self.work_s)
         finally:
-            self.running -= 1
-            async with self.free:
-                self.free.notify()
+            self._free.release()
         return True
 
 
-async def _serve_connection(
-    server: ShardServer,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    conn = h11.Connection(h11.SERVER)
-    try:
-        while await _serve_request(server, conn, reader, writer):
-            conn.start_next_cycle()
-    except (
-        asyncio.CancelledError,  # the stand-in ends
-        ConnectionError,
-        h11.RemoteProtocolError,
-    ):
-        pass  # or the node left in the middle of a request
-    finally:
-        writer.close()
-
-
-async def _serve_request(
-    server: ShardServer,
-    conn: h11.Connection,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    headers: dict[str, str] = {}
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            conn.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            headers = {
-                name.decode(): text.decode() for name, text in event.headers
-            }
-        elif isinstance(event, h11.EndOfMessage):
-            break
-        elif not isinstance(event, h11.Data):
-            return False
-    if headers.get('ibismount-expected-instance') != server.id:
-        _send(conn, writer, 421, {})
-        return True
-    request_id = headers['ibismount-request-id']
-    if not await server.run(request_id):
-        _send(conn, writer, 503, {'ibismount-not-executed': '1'})
-        return True
-    if server.fault == 'silent':
-        await reader.read()
-        return False
-    if server.fault == 'reset':
-        writer.transport.abort()
-        return False
-    if server.fault == 'cut':
-        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf')
-        return False
-    status = 500 if server.fault == 'fail' else 200
-    body = f'{server.service}:{request_id}'.encode()[:16].ljust(16, b'.')
-    answer = {
-        'ibismount-request-id': request_id,
-        'ibismount-server-stamp': f'{server.id}.{request_id}',
-    }
-    _send(conn, writer, status, answer, body)
-    if server.fault == 'extra':
-        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno')
-    await writer.drain()
-    return conn.our_state is h11.DONE
-
-
-def _send(
-    conn: h11.Connection,
-    writer: asyncio.StreamWriter,
-    status: int,
-    headers: dict[str, str],
-    body: bytes = b'',
-) -> None:
-    sent = [*headers.items(), ('content-length', str(len(body)))]
-    writer.write(conn.send(h11.Response(status_code=status, headers=sent)))
-    writer.write(conn.send(h11.Data(data=body)))
-    writer.write(conn.send(h11.EndOfMessage()))
-
-
-async def serve_shard(server: ShardServer, host: str) -> asyncio.Server:
-    """Listen for requests on a free port."""
-    return await asyncio.start_server(
-        lambda reader, writer: _serve_connection(server, reader, writer),
-        host,
-        0,
-    )
+class _ShardConnection(ServerConnection):
+    """One connection, with the server's fault applied to each answer."""
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, server: ShardServer
+    ) -> None:
+        """Take over an accepted connection."""
+        super().__init__(stream)
+        self._server = server
+
+    async def respond(self, request: HttpRequest) -> HttpResponse:
+        """Run a request and answer it."""
+        server = self._server
+        if request.header('ibismount-expected-instance') != server.id:
+            return HttpResponse(421, [], b'')
+        request_id = request.header('ibismount-request-id')
+        if not await server.run(request_id):
+            return HttpResponse(503, [('ibismount-not-executed', '1')], b'')
+        if server.fault == 'reset':
+            self.reset()
+        self.silent = server.fault == 'silent'
+        headers = [
+            ('ibismount-request-id', request_id),
+            ('ibismount-server-stamp', f'{server.id}.{request_id}'),
+        ]
+        if server.fault == 'cut':
+            headers.append(('connection', 'close'))
+        body = f'{server.service}:{request_id}'.encode()[:16].ljust(16, b'.')
+        status = 500 if server.fault == 'fail' else 200
+        return HttpResponse(status, headers, body)
+
+    def _encode(self, response: HttpResponse) -> bytes:
+        encoded = super()._encode(response)
+        if self._server.fault == 'cut':
+            return encoded[: -len(response.body) // 2]
+        if self._server.fault == 'extra':
+            return encoded + _EXTRA
+        return encoded
+
+
+async def serve_shard(
+    server: ShardServer, host: str
+) -> tuple[int, asyncio.Task]:
+    """Listen on a free port; return it and the task that serves."""
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        conn = _ShardConnection(stream, server)
+        await conn.serve(conn.respond)
+
+    return await listen(host, 0, handle)
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -13,13 +13,13 @@
 
 def run(tmp_path, main, **options):
     async def body():
-        town = EdgeFleet(tmp_path)
+        fleet = EdgeFleet(tmp_path)
         try:
-            await town.start(**options)
+            await fleet.start(**options)
             async with httpx.AsyncClient() as client:
-                await main(town, client)
+                await main(fleet, client)
         finally:
-            await town.stop()
+            await fleet.stop()
 
     asyncio.run(asyncio.wait_for(body(), 60))
 
@@ -27,21 +27,21 @@
 def test_path_from_caller_to_servers_and_back(tmp_path):
     """The whole path must run without the users' bench."""
 
-    async def main(town, client):
-        for ip in town.ips:
-            name, answer = await town.ask(client, ip)
+    async def main(fleet, client):
+        for ip in fleet.ips:
+            name, answer = await fleet.ask(client, ip)
             assert answer.status_code == 200
             parts = answer.headers['ibismount-part-stamps'].split(', ')
             assert len(parts) == len(SHARDS)
             assert all(one.endswith(name) for one in parts)
             assert answer.headers['ibismount-missing-parts'] == '0'
             assert len(answer.content) == 3 * 16
-        name, answer = await town.ask(
-            client, town.ips[0], '/booking1/x', 'POST'
+        name, answer = await fleet.ask(
+            client, fleet.ips[0], '/booking1/x', 'POST'
         )
         assert answer.headers['ibismount-server-stamp'].endswith(name)
-        assert town.runs(name) == 1
-        assert (await town.ask(client, town.ips[0], '/none/'))[
+        assert fleet.runs(name) == 1
+        assert (await fleet.ask(client, fleet.ips[0], '/none/'))[
             1
         ].status_code == 404
 
@@ -51,19 +51,19 @@
 def test_callers_are_sent_to_the_nodes_that_live(tmp_path):
     """A killed node must soon be missing from the lists of addresses."""
 
-    async def main(town, client):
+    async def main(fleet, client):
         async def all_named():
-            return len(await town.addresses(town.ips[0])) == 3
+            return len(await fleet.addresses(fleet.ips[0])) == 3
 
-        await town.until(all_named)
-        town.edges[town.ips[2]].kill()
+        await fleet.until(all_named)
+        fleet.edges[fleet.ips[2]].kill()
 
         async def one_less():
-            return len(await town.addresses(town.ips[0])) == 2
+            return len(await fleet.addresses(fleet.ips[0])) == 2
 
-        await town.until(one_less)
-        await town.start_edge(town.ips[2])
-        await town.until(all_named)
+        await fleet.until(one_less)
+        await fleet.start_edge(fleet.ips[2])
+        await fleet.until(all_named)
 
     run(tmp_path, main)
 
@@ -71,21 +71,21 @@
 def test_change_reaches_every_node_also_without_the_store(tmp_path):
     """A node that starts while the store is away serves from its peers."""
 
-    async def main(town, client):
-        await town.configure(2)
+    async def main(fleet, client):
+        await fleet.configure(2)
 
         async def in_force(ip):
-            _, answer = await town.ask(client, ip, '/booking2/x', 'POST')
+            _, answer = await fleet.ask(client, ip, '/booking2/x', 'POST')
             return answer.status_code == 200
 
-        for ip in town.ips:
-            await town.until(lambda ip=ip: in_force(ip))
-        town.store.fault = 'busy'
-        late = town.ips[2]
-        town.edges[late].kill()
-        await town.edges[late].wait()
-        await town.start_edge(late)
-        await town.until_ready(late)
+        for ip in fleet.ips:
+            await fleet.until(lambda ip=ip: in_force(ip))
+        fleet.store.fault = 'busy'
+        late = fleet.ips[2]
+        fleet.edges[late].kill()
+        await fleet.edges[late].wait()
+        await fleet.start_edge(late)
+        await fleet.until_ready(late)
         assert await in_force(late)
 
     run(tmp_path, main)
@@ -95,23 +95,23 @@
 def test_store_that_misbehaves_does_not_stop_the_service(tmp_path, fault):
     """Searches need the view only, not the store."""
 
-    async def main(town, client):
-        town.store.fault = fault
-        await town.store.forget_history()
+    async def main(fleet, client):
+        fleet.store.fault = fault
+        await fleet.store.forget_history()
         await asyncio.sleep(1.5)
-        for ip in town.ips:
-            _, answer = await town.ask(client, ip)
+        for ip in fleet.ips:
+            _, answer = await fleet.ask(client, ip)
             assert answer.status_code == 200
-        town.store.fault = ''
-        await town.configure(3)
+        fleet.store.fault = ''
+        await fleet.configure(3)
 
         async def in_force():
-            _, answer = await town.ask(
-                client, town.ips[0], '/booking3/x', 'POST'
+            _, answer = await fleet.ask(
+                client, fleet.ips[0], '/booking3/x', 'POST'
             )
             return answer.status_code == 200
 
-        await town.until(in_force)
+        await fleet.until(in_force)
 
     run(tmp_path, main)
 
@@ -119,17 +119,17 @@
 def test_shutdown_cuts_no_request(tmp_path):
     """Requests under way at SIGTERM must be answered."""
 
-    async def main(town, client):
-        for one in town.servers:
+    async def main(fleet, client):
+        for one in fleet.servers:
             one.work_s = 0.5
-        ip = town.ips[1]
-        asked = [asyncio.create_task(town.ask(client, ip)) for _ in range(5)]
+        ip = fleet.ips[1]
+        asked = [asyncio.create_task(fleet.ask(client, ip)) for _ in range(5)]
         await asyncio.sleep(0.2)
-        town.edges[ip].send_signal(signal.SIGTERM)
+        fleet.edges[ip].send_signal(signal.SIGTERM)
         for _, answer in await asyncio.gather(*asked):
             assert answer.status_code == 200
             assert answer.headers['connection'] == 'close'
-        assert await asyncio.wait_for(town.edges[ip].wait(), 8) == 0
+        assert await asyncio.wait_for(fleet.edges[ip].wait(), 8) == 0
 
     run(tmp_path, main)
 
@@ -138,14 +138,14 @@
 def test_booking_runs_once_whatever_its_server_does(tmp_path, fault):
     """A doubled booking sends two vans to one address."""
 
-    async def main(town, client):
-        for one in town.servers:
+    async def main(fleet, client):
+        for one in fleet.servers:
             one.fault = fault
-        name, answer = await town.ask(
-            client, town.ips[0], '/booking1/x', 'POST'
+        name, answer = await fleet.ask(
+            client, fleet.ips[0], '/booking1/x', 'POST'
         )
         assert answer.status_code in {500, 502, 504}
-        assert town.runs(name) == 1
+        assert fleet.runs(name) == 1
 
     run(tmp_path, main)
 
@@ -153,11 +153,11 @@
 def test_second_answers_of_servers_reach_nobody(tmp_path):
     """An extra answer must not be taken for that of the next request."""
 
-    async def main(town, client):
-        for one in town.servers:
+    async def main(fleet, client):
+        for one in fleet.servers:
             one.fault = 'extra'
         for _ in range(10):
-            name, answer = await town.ask(client, town.ips[0])
+            name, answer = await fleet.ask(client, fleet.ips[0])
             parts = answer.headers['ibismount-part-stamps'].split(', ')
             assert all(one.endswith(name) for one in parts)
 
@@ -167,14 +167,14 @@
 def test_leaving_server_gets_no_more_work(tmp_path):
     """A server that drains must be left well within three seconds."""
 
-    async def main(town, client):
-        leaving = [one for one in town.servers if one.zone == 'z0']
+    async def main(fleet, client):
+        leaving = [one for one in fleet.servers if one.zone == 'z0']
         for one in leaving:
-            await town.register(one, state='draining')
+            await fleet.register(one, state='draining')
         await asyncio.sleep(1.5)
         before = sum(sum(one.ran.values()) for one in leaving)
-        for ip in town.ips:
-            _, answer = await town.ask(client, ip)
+        for ip in fleet.ips:
+            _, answer = await fleet.ask(client, ip)
             assert answer.status_code == 200
         assert sum(sum(one.ran.values()) for one in leaving) == before
 
@@ -184,30 +184,30 @@
 def test_settings_are_read_again_and_bad_ones_refused(tmp_path):
     """A change comes by signal or without one; a bad file must not apply."""
 
-    async def main(town, client):
-        ip = town.ips[0]
-        path = town.path / f'{ip}.yaml'
+    async def main(fleet, client):
+        ip = fleet.ips[0]
+        path = fleet.path / f'{ip}.yaml'
         settings = json.loads(path.read_text())
 
         def logged(message):
-            return [one for one in town.logs[ip] if one['message'] == message]
+            return [one for one in fleet.logs[ip] if one['message'] == message]
 
         async def read_again():
             return bool(logged('edge: settings read again'))
 
         settings['bounds']['retry_slack'] = 50
         path.write_text(json.dumps(settings))
-        await town.until(read_again)
+        await fleet.until(read_again)
         changed = logged('edge: settings read again')[0]['changed']
         assert changed == ['bounds.retry_slack']
         path.write_text('{"node": 7}')
-        town.edges[ip].send_signal(signal.SIGHUP)
+        fleet.edges[ip].send_signal(signal.SIGHUP)
 
         async def refused():
             return bool(logged('edge: settings refused'))
 
-        await town.until(refused)
-        assert (await town.ask(client, ip))[1].status_code == 200
+        await fleet.until(refused)
+        assert (await fleet.ask(client, ip))[1].status_code == 200
 
     run(tmp_path, main)
 
@@ -215,11 +215,11 @@
 def test_metrics_are_served_as_text(tmp_path):
     """Counters must be readable by the usual scrapers."""
 
-    async def main(town, client):
+    async def main(fleet, client):
         for _ in range(3):
-            await town.ask(client, town.ips[0])
+            await fleet.ask(client, fleet.ips[0])
         answer = await client.get(
-            f'http://{town.ips[0]}:{town.ports[4]}/metrics'
+            f'http://{fleet.ips[0]}:{fleet.ports[4]}/metrics'
         )
         found = {
             (one.name, one.labels.get('outcome')): one.value
@@ -237,16 +237,16 @@
 def test_failure_can_be_traced_by_its_id(tmp_path):
     """An engineer has only the id of the request and the logs."""
 
-    async def main(town, client):
-        for one in town.servers:
+    async def main(fleet, client):
+        for one in fleet.servers:
             if one.service in SHARDS[:2]:
                 one.fault = 'reset'
-        name, answer = await town.ask(client, town.ips[0])
+        name, answer = await fleet.ask(client, fleet.ips[0])
         assert answer.status_code == 502
         await asyncio.sleep(0.2)
         lines = [
             line
-            for line in town.logs[town.ips[0]]
+            for line in fleet.logs[fleet.ips[0]]
             if line.get('request_id') == name
         ]
         assert lines
