--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -21,6 +21,7 @@
 from ibismount.handout import nodes_to_name
 from ibismount.logs import part_logger
 from ibismount.member import Member
+from ibismount.node_share import NodeShares
 from ibismount.peers import Peers
 from ibismount.placement import Placement
 from ibismount.platform.feed import PlatformFeed
@@ -42,14 +43,6 @@
 
 log = part_logger('edge')
 
-# Nodes that are assumed to share each server while peers are not known.
-# The number is the size of the largest fleet of today.
-NODES_UNKNOWN = 128
-# Part of the fleet's budgets that belongs to the nodes which callers are sent
-# to; the others get requests of callers with old lists only.
-NAMED_SHARE = 0.8
-# Time after the start until the number of live peers is relied on, in seconds.
-SETTLE_S = 1.2
 ADDRESSES_MOST = 64  # addresses that one answer may hold
 # Time for which callers keep an address list, in seconds: short, so that they
 # soon leave a node that ended.
@@ -169,10 +162,11 @@
                 seed.startswith(f'{own.id}:') for seed in cfg.node.seeds
             ),
         )
-        self._started_at = loop.time()
         self._named: list[Member] = []
-        # The nodes of this one's kind, and their part of a budget.
-        self._sharing: tuple[int, float] = (NODES_UNKNOWN, 1)
+        self._shares = NodeShares(loop.time())
+        self._share = self._shares.find(
+            loop.time(), named=0, is_named=False, most_live=1
+        )
         self.pool = ServerPool()
         self.dispatch = EdgeDispatch(
             fleet=self.fleet,
@@ -199,12 +193,11 @@
 
     def node_count(self) -> int:
         """Return the number of nodes that share each server."""
-        return self._sharing[0]
+        return self._share.nodes
 
     def budget_share(self) -> float:
         """Return this node's part of a budget of the whole fleet."""
-        count, share = self._sharing
-        return share / count
+        return self._share.budget
 
     def _find_named(self) -> None:
         """Find the nodes to name, and what this node shares with them.
@@ -218,16 +211,12 @@
             # What others said of this node may be late.
             members = [one for one in members if one.id != own_id]
         self._named = nodes_to_name(members)
-        settled_at = self._started_at + SETTLE_S
-        most = self.peers.most_live()
-        if asyncio.get_running_loop().time() < settled_at:
-            self._sharing = (NODES_UNKNOWN, 1)
-        elif len(self._named) >= most or not self._named:
-            self._sharing = (most, 1)
-        elif any(one.id == own_id for one in self._named):
-            self._sharing = (len(self._named), NAMED_SHARE)
-        else:
-            self._sharing = (most, 1 - NAMED_SHARE)
+        self._share = self._shares.find(
+            asyncio.get_running_loop().time(),
+            named=len(self._named),
+            is_named=any(one.id == own_id for one in self._named),
+            most_live=self.peers.most_live(),
+        )
 
     def addresses(self) -> list[str]:
         """Return the addresses that a caller may use."""
--- /dev/null
+++ b/ibismount/node_share.py
@@ -0,0 +1,98 @@
+"""This node's part of what all nodes may use together.
+
+Limits of backend servers and budgets for extra requests hold for the whole
+fleet. Each node takes a part of them without asking the others, so the parts
+have to stay within the whole also while nodes can't see each other.
+"""
+
+import collections
+import dataclasses
+
+__all__ = ('NodeShare', 'NodeShares', 'ShareOptions')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareOptions:
+    """Numbers, and times in seconds."""
+
+    # Nodes that are assumed to share everything while peers are not known:
+    # the size of the largest fleet of today.
+    unknown_nodes: int = 128
+    # Time after the start until the number of live peers is relied on.
+    settle_s: float = 1.2
+    # Part of the whole that belongs to the nodes which callers are sent to;
+    # the others get requests of callers with old lists only.
+    named_part: float = 0.8
+    # Time for which nodes that are no longer named still count: they may be
+    # on the other side of a partition. Longer than the window of the budgets.
+    remember_s: float = 25.0
+
+
+_DEFAULTS = ShareOptions()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeShare:
+    """What one node may use.
+
+    ``nodes`` is the number of nodes that share each backend server, and
+    ``budget`` is this node's part of a budget of the fleet.
+    """
+
+    nodes: int
+    budget: float
+
+
+class NodeShares:
+    """Find one node's share from the nodes that it sees.
+
+    Args:
+        started_at: When the process started, in seconds.
+        options: Numbers and times.
+
+    Example::
+
+        shares = NodeShares(0)
+        shares.find(9, named=6, is_named=True, most_live=117)
+        # NodeShare(nodes=6, budget=0.133...)
+    """
+
+    def __init__(
+        self, started_at: float, options: ShareOptions = _DEFAULTS
+    ) -> None:
+        """Start without any peer."""
+        self._options = options
+        self._settled_at = started_at + options.settle_s
+        # Numbers of named nodes with the time at which each was last seen,
+        # falling: only a number that is the greatest since its time counts.
+        self._seen: collections.deque[tuple[int, float]] = collections.deque()
+
+    def find(
+        self, now: float, *, named: int, is_named: bool, most_live: int
+    ) -> NodeShare:
+        """Return the share of this node now.
+
+        Args:
+            now: Time in seconds.
+            named: Nodes that callers are sent to.
+            is_named: This node is one of them.
+            most_live: Greatest number of nodes that were alive together.
+        """
+        options = self._options
+        most_named = self._most_named(now, named)
+        if now < self._settled_at:
+            return NodeShare(options.unknown_nodes, 1 / options.unknown_nodes)
+        if not most_named or most_named >= most_live:
+            return NodeShare(most_live, 1 / most_live)
+        if is_named:
+            return NodeShare(most_named, options.named_part / most_named)
+        return NodeShare(most_live, (1 - options.named_part) / most_live)
+
+    def _most_named(self, now: float, named: int) -> int:
+        """Return the greatest number of named nodes in the last while."""
+        while self._seen and self._seen[-1][0] <= named:
+            self._seen.pop()
+        self._seen.append((named, now))
+        while self._seen[0][1] < now - self._options.remember_s:
+            self._seen.popleft()
+        return self._seen[0][0]
