Let requests wait in line, refuse hopeless ones at once, limit cold servers

Cause 1: a request that found no free server polled every 5 ms until its deadline, in no order. Change: one line for each service by priority and time (waiting), a freed server wakes the first, a first send that would miss the target is refused.

Cause 2: the rate of cold servers was decoded and not enforced. Change: cold_limit divides a server's permits among the named nodes; a lost connection or a zone taken back makes its servers count as cold. Services without a rate are not concerned.

Cause 3: state of removed servers, services and routes was kept for ever, and the count of requests under way could be written to another lifetime of a server.

Ruled out: a longer queue at the servers (all become late together).

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -9,6 +9,7 @@
 
 from ibismount.caller_server import CallerConnection, CallerSite, RawRequest
 from ibismount.change_feed import ChangeFeed
+from ibismount.cold_limit import ColdLimit
 from ibismount.edge_dispatch import EdgeDispatch, Job
 from ibismount.edge_logs import configure_edge_logs
 from ibismount.edge_settings import (
@@ -180,6 +181,7 @@
             wire=self.wire,
             rng=rng,
             node_count=self.node_count,
+            cold=ColdLimit(cfg.node.ip),
         )
         self._serving_site = _ServingSite(self)
         self._status_site = _StatusSite(self)
@@ -217,6 +219,7 @@
             is_named=any(one.id == own_id for one in self._named),
             most_live=self.peers.most_live(),
         )
+        self.dispatch.cold.set_nodes([one.id for one in self._named])
 
     def addresses(self) -> list[str]:
         """Return the addresses that a caller may use."""
@@ -322,10 +325,10 @@
             if loop.time() >= check_at:
                 check_at = loop.time() + _SETTINGS_CHECK_S
                 self._reload_if_changed()
+                self.dispatch.forget_gone()
             self._announce()
             for server in self.fleet.servers.expire(loop.time()):
                 log.info('server gone', extra={'server': server.id})
-                self.dispatch.placement.forget(server.id)
 
 
 # How often a leaving node looks for idle connections, in seconds.
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -1,9 +1,11 @@
 """What the requests under way on one node share."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable
 
+from ibismount.cold_limit import ColdLimit
 from ibismount.edge_job import DispatchOptions, Job, Sending
 from ibismount.edge_metrics import EdgeMetrics
 from ibismount.errors import ErrorCode
@@ -14,9 +16,11 @@
 from ibismount.placement import Placement
 from ibismount.route_latency import RouteLatency
 from ibismount.routes import Route, TrafficSplit
+from ibismount.server_health import ServerHealth
 from ibismount.server_pool import ServerPool
 from ibismount.servers import Server
 from ibismount.traffic_budget import TrafficBudget
+from ibismount.waiting import WaitingLines, expected_wait_s
 from ibismount.wire_format import (
     CallerRequest,
     Outcome,
@@ -55,6 +59,7 @@
         wire: The protocol of callers and servers.
         rng: Source of randomness.
         node_count: Returns the number of nodes that share each server.
+        cold: Bound on requests to cold servers.
         options: Times and weights.
     """
 
@@ -68,6 +73,7 @@
         wire: WireFormat,
         rng: random.Random,
         node_count: Callable[[], int],
+        cold: ColdLimit,
         options: DispatchOptions = _DEFAULTS,
     ) -> None:
         """Start without requests."""
@@ -75,6 +81,7 @@
         self.placement = placement
         self.pool = pool
         self.budget = budget
+        self.cold = cold
         self.wire = wire
         self.options = options
         self.jobs: set[Job] = set()
@@ -83,6 +90,9 @@
         self._node_count = node_count
         self._split = TrafficSplit(rng)
         self.latency = RouteLatency()
+        self.lines = WaitingLines()
+        # Requests under way at the servers of each service.
+        self._under_way: collections.Counter[str] = collections.Counter()
 
     def now(self) -> float:
         """Return the time in seconds."""
@@ -120,6 +130,39 @@
             for one in self.fleet.servers.of_service(part.service)
         )
 
+    def forget_gone(self) -> None:
+        """Drop what is known of servers, services and routes that are gone."""
+        servers = {one.id for one in self.fleet.servers.all_servers()}
+        self.placement.keep_only(servers)
+        self.cold.keep_only(servers)
+        self.budget.keep_only(self.fleet.table.services.keys())
+        routes = {one.name for one in self.fleet.table.routes}
+        self.latency.keep_only(routes)
+        self._split.keep_only(routes)
+
+    def long_s(self, route: Route) -> float:
+        """Return the time in which nearly all parts of a route are served."""
+        return self.latency.long_s(self.now(), route)
+
+    def can_serve(self, job: Job, part: Part) -> bool:
+        """Tell whether a part can probably be served in time.
+
+        What is known to be hopeless is refused at once, so that the caller
+        can do better with its time, and the line stays short.
+        """
+        if not self.has_server(part):
+            return False
+        ahead = self.lines.ahead(part.service, job.route.priority)
+        if not ahead:
+            return True
+        now = self.now()
+        wait_s = expected_wait_s(
+            ahead,
+            self._under_way[part.service],
+            self.latency.usual_s(now, job.route),
+        )
+        return now + wait_s < job.last_send_at()
+
     def ranked(self, part: Part) -> list[Server]:
         """Return the servers that may get a part, best first."""
         servers = list(self.fleet.servers.of_service(part.service))
@@ -131,7 +174,37 @@
             cold=self.fleet.cold_ids(servers),
         )
 
-    def is_full(self, server: Server) -> bool:
+    def reserve(self, server: Server) -> bool:
+        """Take what one more request needs at a server, if it is free."""
+        if self._is_full(server):
+            return False
+        rate = self.fleet.cold_rate(server)
+        return not rate or self.cold.take(self.now(), server.id, rate=rate)
+
+    def give_back(self, server: Server) -> None:
+        """Return what a request took that was not sent after all."""
+        if self.fleet.cold_rate(server):
+            self.cold.give_back(server.id)
+
+    def send_began(self, server: Server) -> ServerHealth:
+        """Count an attempt that is under way; return where it is counted."""
+        health = self.placement.health(server)
+        health.in_flight += 1
+        self._under_way[server.service] += 1
+        return health
+
+    def send_ended(self, sending: Sending) -> None:
+        """Count the end of an attempt; who waits longest takes its place."""
+        sending.health.in_flight -= 1
+        service = sending.server.service
+        self._under_way[service] -= 1
+        if not self._under_way[service]:
+            self._under_way.pop(service)
+        waiter = self.lines.first(service)
+        if waiter is not None:
+            asyncio.get_running_loop().call_soon(waiter.resume)
+
+    def _is_full(self, server: Server) -> bool:
         """Tell whether this node's share of a server is in use.
 
         What is sent beyond the slots only waits there, mostly until nobody
@@ -169,6 +242,8 @@
     ) -> None:
         """Learn from a lost connection."""
         self.placement.health(sending.server).lost(self.now())
+        # A server that restarted is cold before its entry says so.
+        self.fleet.doubt_warmth(sending.server)
         self.metrics.attempt_ended(end.value)
         self._log_attempt(job, sending, end.value)
 
@@ -253,6 +328,7 @@
             'servers_doubted': self.fleet.servers.doubted(),
             'servers_revision': self.fleet.servers_revision,
             'requests_under_way': len(self.jobs),
+            'parts_waiting': len(self.lines),
             'connections_opened': self.pool.opened,
             'extra_requests': self.budget.spent,
             'extra_requests_denied': self.budget.denied,
--- a/ibismount/edge_job.py
+++ b/ibismount/edge_job.py
@@ -11,8 +11,10 @@
 from ibismount.http_exchange import ExchangeEnd, RawAnswer
 from ibismount.routes import Route
 from ibismount.server_pool import PendingExchange
+from ibismount.server_health import ServerHealth
 from ibismount.servers import Server
 from ibismount.top_k import merge_top_k
+from ibismount.waiting import Waiter
 from ibismount.wire_format import (
     CallerRequest,
     Outcome,
@@ -41,8 +43,11 @@
     # Share of the target for which a lost part waits for the budget. A search
     # that fails soon can still be asked again in time.
     budget_wait_share: float = 0.2
-    # Pause before a part that found no free connection is tried again.
-    connection_pause_s: float = 0.005
+    # Pause before a part that found no free server is tried again, besides
+    # the moments at which a server becomes free: permits come with time.
+    server_pause_s: float = 0.03
+    # The same for a part that waits for the budget of extra requests.
+    budget_pause_s: float = 0.005
     # Time for which an overdue server gets no new request: a usual pause.
     overdue_hold_s: float = 0.2
     # Most rejections of one part before it counts as failed.
@@ -51,10 +56,18 @@
     jobs_most: int = 2000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """A part in a line; ``extra``: a further attempt of it."""
+
+    waiter: Waiter
+    extra: bool
+
+
 class Sending:
     """One attempt on its way; gets the outcome of its exchange."""
 
-    __slots__ = ('_job', 'attempt', 'pending', 'server')
+    __slots__ = ('_job', 'attempt', 'health', 'pending', 'server')
 
     def __init__(self, job: 'Job', server: Server) -> None:
         """Start without an attempt; it is recorded once it is under way."""
@@ -62,6 +75,8 @@
         self.server = server
         self.attempt: Attempt | None = None
         self.pending: PendingExchange | None = None
+        # Of the lifetime of the server that gets the attempt.
+        self.health: ServerHealth | None = None
 
     def exchange_answered(self, answer: RawAnswer) -> bool:
         """Take an answer unless it belongs to another request."""
@@ -95,19 +110,29 @@
         self._failure: ServerAnswer | None = None
         self._rejections = 0
         self._timer: asyncio.TimerHandle | None = None
-        # Parts that found no free connection, and whether they count as extra.
-        self._starved: dict[Part, bool] = {}
+        # Parts whose further attempt waits for the budget.
+        self._unpaid: set[Part] = set()
+        # Parts that wait for a free server, each with its place in the line.
+        self._waiting: dict[Part, _Wait] = {}
 
     @property
     def ended(self) -> bool:
         """Tell whether the caller has its outcome or has left."""
         return self._on_outcome is None
 
+    def last_send_at(self) -> float:
+        """Return until when a first send is probably in time."""
+        plan = self.gathering.plan
+        long_s = self._dispatch.long_s(self.route)
+        # A route whose target is close to its latency may wait a bit.
+        least_at = min(self.started_at + long_s, plan.end_at)
+        return max(plan.answer_at - long_s, least_at)
+
     def start(self) -> None:
-        """Send every part once, unless too few can be had at all."""
+        """Send every part once, unless too few can be had in time."""
         parts = self.gathering.parts
         for part in parts:
-            part.exhausted = not self._dispatch.has_server(part)
+            part.exhausted = not self._dispatch.can_serve(self, part)
         if self.gathering.decide(self.started_at) is Decision.WAIT:
             for part in parts:
                 if not part.exhausted:
@@ -128,6 +153,7 @@
             return
         self._on_outcome = None
         self._stop_timer()
+        self._leave_lines()
         self._cancel_open()
         self._dispatch.job_ended(self)
 
@@ -182,7 +208,7 @@
         self._send(part, extra=arrived)
 
     def _send(self, part: Part, *, extra: bool = False) -> bool:
-        """Send a part to the best server that has a free connection."""
+        """Send a part to the best server that is free, or let it wait."""
         dispatch = self._dispatch
         ranked = dispatch.ranked(part)
         if not ranked:
@@ -194,29 +220,62 @@
             if not part.open:
                 self._await_budget(part)
             return False
-        for server in ranked:
-            if self._send_to(part, server):
-                self._starved.pop(part, None)
-                if not extra:
-                    dispatch.budget.earn(part.service)
-                return True
+        if not self._overtakes(part):
+            for server in ranked:
+                if self._send_to(part, server):
+                    self._stop_waiting(part)
+                    if not extra:
+                        dispatch.budget.earn(part.service)
+                    return True
         if extra:
             dispatch.budget.refund(part.service)
         if not part.open:
-            self._starved[part] = extra
+            self._await_server(part, extra=extra)
         return False
 
+    def _overtakes(self, part: Part) -> bool:
+        """Tell whether others have waited for the same servers before."""
+        if part in self._waiting:
+            return False
+        lines = self._dispatch.lines
+        return bool(lines.ahead(part.service, self.route.priority))
+
+    def _await_server(self, part: Part, *, extra: bool) -> None:
+        """Wait in the service's line while an answer can still be in time."""
+        if self._dispatch.now() >= self.last_send_at() and not part.attempts:
+            self._stop_waiting(part)
+            part.exhausted = True
+        elif part not in self._waiting:
+            waiter = self._dispatch.lines.enter(
+                part.service,
+                self.route.priority,
+                lambda: self._resume(part),
+            )
+            self._waiting[part] = _Wait(waiter, extra)
+
+    def _resume(self, part: Part) -> None:
+        wait = self._waiting.get(part)
+        if wait is not None and not self.ended:
+            self._send(part, extra=wait.extra)
+            self._decide()
+
+    def _stop_waiting(self, part: Part) -> None:
+        wait = self._waiting.pop(part, None)
+        if wait is not None:
+            self._dispatch.lines.leave(wait.waiter)
+
     def _await_budget(self, part: Part) -> None:
         """Try a part again when the budget has filled up, for a while."""
         wait_s = self.route.target_s * self._dispatch.options.budget_wait_share
         if self._dispatch.now() < self.started_at + wait_s:
-            self._starved[part] = True
+            self._unpaid.add(part)
         else:
+            self._stop_waiting(part)
             part.exhausted = True
 
     def _send_to(self, part: Part, server: Server) -> bool:
         dispatch = self._dispatch
-        if dispatch.is_full(server):
+        if not dispatch.reserve(server):
             return False
         sending = Sending(self, server)
         sending.pending = dispatch.pool.start(
@@ -228,10 +287,11 @@
             max_open=dispatch.max_open(server),
         )
         if sending.pending is None:
+            dispatch.give_back(server)
             return False
         sending.attempt = self.gathering.sent(part, server.id, dispatch.now())
         self._open.add(sending)
-        dispatch.placement.health(server).in_flight += 1
+        sending.health = dispatch.send_began(server)
         return True
 
     def _remaining(self) -> float:
@@ -243,7 +303,7 @@
     def _close(self, sending: Sending) -> None:
         if sending in self._open:
             self._open.discard(sending)
-            self._dispatch.placement.health(sending.server).in_flight -= 1
+            self._dispatch.send_ended(sending)
 
     def _decide(self) -> None:
         if self.ended:
@@ -259,10 +319,11 @@
 
     def _arm(self, now: float) -> None:
         moment = self.gathering.next_check(now)
-        if self._starved:
-            moment = min(
-                moment, now + self._dispatch.options.connection_pause_s
-            )
+        options = self._dispatch.options
+        if self._waiting:
+            moment = min(moment, now + options.server_pause_s)
+        if self._unpaid:
+            moment = min(moment, now + options.budget_pause_s)
         if self._timer is not None:
             # A timer that fires early only decides once more.
             if self._timer.when() <= moment:
@@ -273,9 +334,11 @@
     def _tick(self) -> None:
         self._timer = None
         now = self._dispatch.now()
-        starved, self._starved = self._starved, {}
-        for part, extra in starved.items():
-            self._send(part, extra=extra)
+        unpaid, self._unpaid = self._unpaid, set()
+        for part in unpaid:
+            self._send(part, extra=True)
+        for part, wait in list(self._waiting.items()):
+            self._send(part, extra=wait.extra)
         for part in self.gathering.due_hedges(now):
             part.next_hedge_at = math.inf
             self._note_overdue(part, now)
@@ -317,6 +380,7 @@
     def _end(self, outcome: Outcome) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
         self._stop_timer()
+        self._leave_lines()
         self._dispatch.job_ended(self, outcome)
         if outcome.kind is OutcomeKind.NOT_RUN:
             # The promise holds only if nothing can still arrive.
@@ -340,6 +404,10 @@
             self._close(sending)
             sending.pending.cancel()
 
+    def _leave_lines(self) -> None:
+        for part in list(self._waiting):
+            self._stop_waiting(part)
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/ibismount/fleet.py
+++ b/ibismount/fleet.py
@@ -109,6 +109,24 @@
         now = self._now()
         return {one.id for one in servers if self.servers.is_cold(one.id, now)}
 
+    def cold_rate(self, server: Server) -> float:
+        """Return the rate that a server bears now; 0 when it has no limit."""
+        service = self.table.services.get(server.service)
+        if service is None or not service.cold_rate:
+            return 0
+        cold = self.servers.is_cold(server.id, self._now())
+        return service.cold_rate if cold else 0
+
+    def doubt_warmth(self, server: Server) -> None:
+        """Take a server as cold: it may have restarted unnoticed.
+
+        Only services that state a rate for cold servers are concerned.
+        """
+        service = self.table.services.get(server.service)
+        if service is not None and service.cold_rate:
+            until = self._now() + service.cold_s
+            self.servers.doubt_warmth(server.id, until)
+
     def state(self) -> list[Change]:
         """Return changes that bring an empty view to this one."""
         changes: list[Change] = []
@@ -167,18 +185,23 @@
         if change.revision <= self.zones_revision:
             return False
         self.zones_revision = change.revision
-        known = self.zones_out
         zone = frozenset((change.zone,))
-        self.zones_out = known | zone if change.out else known - zone
-        return self.zones_out != known
+        known = self.zones_out
+        return self._put_zones(known | zone if change.out else known - zone)
 
     def _take_zones(self, change: ZonesListed) -> bool:
         if change.revision <= self.zones_revision:
             return False
         self.zones_revision = change.revision
-        known = self.zones_out
-        self.zones_out = frozenset(change.zones)
-        return self.zones_out != known
+        return self._put_zones(frozenset(change.zones))
+
+    def _put_zones(self, zones_out: frozenset[str]) -> bool:
+        known, self.zones_out = self.zones_out, zones_out
+        # Servers may have become cold while they got no requests.
+        for server in self.servers.all_servers():
+            if server.zone in known - zones_out:
+                self.doubt_warmth(server)
+        return zones_out != known
 
     def _note_revision(self, revision: int) -> None:
         self.servers_revision = max(self.servers_revision, revision)
--- a/ibismount/placement.py
+++ b/ibismount/placement.py
@@ -55,9 +55,14 @@
             self._health[server.id] = known
         return known[1]
 
-    def forget(self, server_id: str) -> None:
-        """Drop what is known of a server that is gone."""
-        self._health.pop(server_id, None)
+    def keep_only(self, known: Collection[str]) -> None:
+        """Drop what is known of servers that are gone.
+
+        Args:
+            known: Ids of the servers to keep.
+        """
+        for server_id in self._health.keys() - known:
+            self._health.pop(server_id)
 
     def rank(
         self,
--- a/ibismount/route_latency.py
+++ b/ibismount/route_latency.py
@@ -1,6 +1,7 @@
 """How long the requests of a route usually take, and when to hedge them."""
 
 import dataclasses
+from collections.abc import Collection
 
 from ibismount.hedging import LatencyEstimate
 from ibismount.routes import Route
@@ -10,16 +11,19 @@
 # A request later than nearly all others is probably at a slow server.
 _HEDGE_QUANTILE = 0.95
 _USUAL_QUANTILE = 0.5
+# Nearly all requests that start in time by this latency are served in time.
+_LONG_QUANTILE = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LatencyOptions:
     """Bounds of the estimates."""
 
-    # Share of the target taken as the usual latency and as the hedge delay
-    # while there are too few observations.
+    # Shares of the target taken as the usual latency, the hedge delay and the
+    # long latency while there are too few observations.
     first_usual_share: float = 0.2
     first_hedge_share: float = 0.4
+    first_long_share: float = 0.3
     # Bounds of the hedge delay: multiples of the usual latency, and the share
     # of the target after which a hedge would come too late. The upper multiple
     # holds when many servers are slow and shift the quantile.
@@ -43,6 +47,11 @@
         self._options = options
         self._estimates: dict[str, LatencyEstimate] = {}
 
+    def keep_only(self, routes: Collection[str]) -> None:
+        """Drop the estimates of routes that are no longer configured."""
+        for name in self._estimates.keys() - routes:
+            self._estimates.pop(name)
+
     def record(self, now: float, route: Route, latency_s: float) -> None:
         """Add the latency of an answered part."""
         self._estimate(route).record(now, latency_s)
@@ -52,6 +61,11 @@
         usual_s = self._estimate(route).quantile(now, _USUAL_QUANTILE)
         return usual_s or route.target_s * self._options.first_usual_share
 
+    def long_s(self, now: float, route: Route) -> float:
+        """Return the latency that nine in ten parts stay below."""
+        long_s = self._estimate(route).quantile(now, _LONG_QUANTILE)
+        return long_s or route.target_s * self._options.first_long_share
+
     def hedge_s(self, now: float, route: Route) -> float:
         """Return the delay after which a part is sent a second time."""
         options = self._options
--- a/ibismount/routes.py
+++ b/ibismount/routes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 __all__ = (
     'CallerLimits',
@@ -128,6 +128,12 @@
         self._rng = rng
         self._credit: dict[tuple[str, str], float] = {}
 
+    def keep_only(self, routes: Collection[str]) -> None:
+        """Drop the state of routes that are no longer configured."""
+        gone = {key for key in self._credit if key[0] not in routes}
+        for key in gone:
+            self._credit.pop(key)
+
     def choose(self, route: Route) -> str:
         """Return the service for the next request of a route."""
         if len(route.services) == 1:
--- a/ibismount/servers.py
+++ b/ibismount/servers.py
@@ -5,6 +5,10 @@
 
 __all__ = ('Server', 'ServerTable')
 
+# Time for which removed entries are remembered, in seconds: far longer than a
+# peer's list of entries can be late.
+REMOVED_KEEP_S = 300.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
@@ -47,8 +51,9 @@
         """Start empty."""
         self._rows: dict[str, _Row] = {}
         self._by_service: dict[str, dict[str, Server]] = {}
-        # Newest revision of removed entries; an older entry stays removed.
-        self._removed: dict[str, int] = {}
+        # Newest revision of removed entries, and when they were removed; an
+        # older entry stays removed.
+        self._removed: dict[str, tuple[int, float]] = {}
 
     def __len__(self) -> int:
         """Return the number of known servers."""
@@ -72,11 +77,18 @@
         row = self._rows.get(server_id)
         return row is not None and now < row.cold_until
 
+    def doubt_warmth(self, server_id: str, until: float) -> None:
+        """Take a server as cold for a while, whatever its entry says."""
+        row = self._rows.get(server_id)
+        if row is not None:
+            row.cold_until = max(row.cold_until, until)
+
     def put(self, now: float, server: Server) -> bool:
         """Take an entry; return whether it changed the table."""
         row = self._rows.get(server.id)
         if row is None:
-            if server.revision <= self._removed.get(server.id, 0):
+            removed_at_revision, _ = self._removed.get(server.id, (0, 0))
+            if server.revision <= removed_at_revision:
                 return False
             self._rows[server.id] = _Row(server, now + server.cold_s)
             self._index(server)
@@ -111,7 +123,7 @@
                 return False
             row.gone_at = now + delay_s
             return True
-        self._drop(server_id, revision)
+        self._drop(now, server_id, revision)
         return True
 
     def replace(
@@ -146,17 +158,21 @@
             if row.gone_at is not None and row.gone_at <= now
         ]
         for server in expired:
-            self._drop(server.id, server.revision)
+            self._drop(now, server.id, server.revision)
+        for server_id, (_, at) in list(self._removed.items()):
+            if at < now - REMOVED_KEEP_S:
+                self._removed.pop(server_id)
         return expired
 
     def doubted(self) -> int:
         """Return the number of servers whose entry is missing."""
         return sum(row.gone_at is not None for row in self._rows.values())
 
-    def _drop(self, server_id: str, revision: int) -> None:
+    def _drop(self, now: float, server_id: str, revision: int) -> None:
         row = self._rows.pop(server_id)
         self._unindex(row.server)
-        self._removed[server_id] = max(revision, row.server.revision)
+        newest = max(revision, row.server.revision)
+        self._removed[server_id] = (newest, now)
 
     def _index(self, server: Server) -> None:
         if not server.leaving:
--- a/ibismount/traffic_budget.py
+++ b/ibismount/traffic_budget.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ibismount.hedging import ExtraLoadBudget
 
@@ -70,6 +70,12 @@
             self._buckets.clear()
             self._filled_at.clear()
 
+    def keep_only(self, services: Collection[str]) -> None:
+        """Drop the budgets of services that are no longer configured."""
+        for name in self._buckets.keys() - services:
+            self._buckets.pop(name)
+            self._filled_at.pop(name)
+
     def earn(self, service: str) -> None:
         """Count a first request."""
         self._bucket(service).earn(1)
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from ibismount.cold_limit import ColdLimit
 from ibismount.edge_dispatch import DispatchOptions, EdgeDispatch
 from ibismount.fleet import Fleet, ServersListed
 from ibismount.http_exchange import ExchangeEnd, RawAnswer
@@ -210,8 +211,10 @@
             wire=self.wire,
             rng=rng,
             node_count=lambda: nodes,
+            cold=ColdLimit('n0'),
             options=options,
         )
+        self.dispatch.cold.set_nodes([f'n{one}' for one in range(nodes)])
         self.count = 0
 
     def submit(self, path=b'/search/x', *, deadline_ms=800, method=b'GET'):
