Check that a resend of a booking that ran is not refused as not run

The check of refusals compares attempts, so a resend whose caller already had the answer could be refused and nothing was found.

--- a/tests/history.py
+++ b/tests/history.py
@@ -159,6 +159,34 @@
     ]
 
 
+# Refusals of a node that can't learn what became of an earlier attempt: it is
+# not confirmed, or the platform that holds the outcome is out of reach.
+BEFORE_THE_CLAIM = frozenset(
+    ('unconfirmed', 'shutting_down', 'platform_unavailable')
+)
+
+
+def resend_is_not_refused(history: History) -> list[str]:
+    """Check the bookings that were sent again after they had run.
+
+    The check of attempts alone lets a node say "not run" to a resend of a
+    booking whose outcome its caller already had.
+    """
+    answered = {}
+    for one in of(history, Answered):
+        if one.kind == 'booking' and one.status == 'answered':
+            known = answered.get(one.request_id, one.at)
+            answered[one.request_id] = min(known, one.at)
+    return [
+        f'{one.request_id} was refused as not run ({one.cause}) although an '
+        f'earlier attempt was answered'
+        for one in of(history, Answered)
+        if one.status == 'not_run'
+        and one.sent_at > answered.get(one.request_id, float('inf'))
+        and one.cause not in BEFORE_THE_CLAIM
+    ]
+
+
 def booking_at_most_once(history: History) -> list[str]:
     runs = collections.Counter(
         run.request_id
@@ -267,6 +295,7 @@
     'true-coverage': true_coverage,
     'own-answer': own_answer,
     'not-run-is-true': not_run_is_true,
+    'resend-not-refused': resend_is_not_refused,
     'booking-at-most-once': booking_at_most_once,
     'within-limits': within_limits,
     'out-gets-no-work': out_gets_no_work,
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,55 @@
+"""The checks of histories find the faults that they are meant for."""
+
+from tests.history import CHECKS, Answered, Ran
+
+
+def booking(at, status, cause=''):
+    return Answered(
+        sent_at=at,
+        at=at + 0.1,
+        node='a1',
+        kind='booking',
+        team='t1',
+        request_id='1-booking',
+        attempt_id=f'attempt-{at}',
+        status=status,
+        query='',
+        snapshot='',
+        asked=1,
+        answered_shards=(),
+        missing=(),
+        results=(),
+        cause=cause,
+        origin='system',
+        change_id='',
+    )
+
+
+def ran(at):
+    return Ran(
+        at, 's', 'z', '0', '1-booking', f'attempt-{at}', '', 1, 4, False, True
+    )
+
+
+def test_resend_that_is_refused_after_its_booking_ran_is_found():
+    """Each attempt by itself was refused truly, so that check was silent."""
+    history = [ran(1), booking(1, 'answered'), booking(5, 'not_run', 'busy')]
+    assert CHECKS['not-run-is-true'](history) == []
+    assert len(CHECKS['resend-not-refused'](history)) == 1
+
+
+def test_resend_at_a_node_that_can_not_know_is_no_fault():
+    """A node without the platform says so, and runs nothing."""
+    history = [
+        ran(1),
+        booking(1, 'answered'),
+        booking(5, 'not_run', 'platform_unavailable'),
+        booking(6, 'answered'),
+    ]
+    assert CHECKS['resend-not-refused'](history) == []
+
+
+def test_refusal_before_the_booking_ran_is_no_fault():
+    """A booking that was refused may be sent again and run then."""
+    history = [booking(1, 'not_run', 'busy'), ran(5), booking(5, 'answered')]
+    assert CHECKS['resend-not-refused'](history) == []
