Let services turn cold in the soak, and check what they get

All servers of a service turn cold at once, as their entries say; from a second later until the end none may get more than 1.5 times its rate and five.

--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -20,10 +20,13 @@
 from standins.object_store import ObjectStore, serve_store
 from standins.shard_server import ShardServer, serve_shard
 
-__all__ = ('SHARDS', 'EdgeFleet')
+__all__ = ('COLD_RATE', 'COLD_S', 'SHARDS', 'EdgeFleet')
 
 ROOT = pathlib.Path(__file__).parent.parent
 SHARDS = [f's{number}' for number in range(4)]
+# How long a server stays cold, and what it bears until then from all nodes.
+COLD_S = 3.0
+COLD_RATE = 6.0
 START_S = 10  # generous: CI machines are busy
 
 # Below the range of ports that the system gives to outgoing connections.
@@ -93,6 +96,8 @@
 
     async def register(self, one: ShardServer, state: str = 'ready') -> None:
         """Write a server's entry."""
+        now = asyncio.get_running_loop().time()
+        cold_s = max(0, one.cold_until - now)
         await self.store.put(
             'servers',
             one.id,
@@ -103,7 +108,7 @@
                 'version': 'v1',
                 'max-concurrency': one.slots,
                 'state': state,
-                'cold-remaining-ms': 0,
+                'cold-remaining-ms': round(cold_s * 1000),
                 'sequence': 1,
                 'born': 1,
             },
@@ -138,7 +143,12 @@
             'backend': 'lookup',
         }
         backends = [
-            {'name': name, 'max-connections': 60}
+            {
+                'name': name,
+                'max-connections': 60,
+                'cold-start-s': COLD_S,
+                'cold-per-s': COLD_RATE,
+            }
             for name in (*SHARDS, 'lookup')
         ]
         await self.store.put(
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -39,6 +39,9 @@
     ran: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    # When requests arrived, in seconds of the event loop.
+    arrived: list[float] = dataclasses.field(default_factory=list)
+    cold_until: float = 0
 
     def __post_init__(self) -> None:
         """Start with all slots free."""
@@ -76,6 +79,7 @@
         server = self._server
         if request.header('ibismount-expected-instance') != server.id:
             return HttpResponse(421, [], b'')
+        server.arrived.append(asyncio.get_running_loop().time())
         request_id = request.header('ibismount-request-id')
         if not await server.run(request_id):
             return HttpResponse(503, [('ibismount-not-executed', '1')], b'')
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,7 +21,8 @@
 
 import httpx
 
-from standins.edge_fleet import SHARDS, EdgeFleet
+from standins.edge_fleet import COLD_RATE, COLD_S, SHARDS, EdgeFleet
+from standins.shard_server import ShardServer
 
 __all__ = ('Soak', 'soak')
 
@@ -32,9 +33,23 @@
 FAULT_PAUSE_S = (0.2, 0.9)
 FAULT_S = (0.3, 1.5)
 SETTLE_S = 4.0  # late work of requests that were given up has ended by then
+# What a cold server may get in a second, as a multiple of its rate and beside
+# it, and the time after its entry from which that holds.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
+COLD_KNOWN_S = 1.0
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdSpan:
+    """Time in which the nodes know that a server is cold, in seconds."""
+
+    server: ShardServer
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
     """One request and what its caller saw; status 0: no answer."""
@@ -58,6 +73,8 @@
         self._rng = random.Random(seed)
         self._busy: set[str] = set()
         self._version = 1
+        self._store_disturbed_at = float('-inf')
+        self._cold_spans: list[ColdSpan] = []
         self.sent: list[Sent] = []
         self.findings: list[str] = []
 
@@ -74,6 +91,8 @@
                 task.cancel()
         await asyncio.sleep(SETTLE_S)
         self._check_runs()
+        for span in self._cold_spans:
+            self._check_cold(span)
 
     async def _call(self, number: int) -> None:
         rng = random.Random(f'{self._rng.random()}{number}')
@@ -141,6 +160,19 @@
         if served < LEAST_SERVED * len(self.sent):
             self.findings.append(f'served {served} of {len(self.sent)}')
 
+    def _check_cold(self, span: ColdSpan) -> None:
+        """Check that no second brought more than a cold server bears."""
+        most = COLD_RATE * COLD_OVERAGE + COLD_SLACK
+        arrived = [at for at in span.server.arrived if at >= span.start]
+        for first in arrived:
+            within = [at for at in arrived if first <= at < first + 1]
+            if first + 1 <= span.end and len(within) > most:
+                self.findings.append(
+                    f'{span.server.id}: {len(within)} requests in a second '
+                    'while cold'
+                )
+                return
+
     async def _inject(self) -> None:
         faults = (
             self._kill_node,
@@ -150,6 +182,7 @@
             self._disturb_server,
             self._break_server,
             self._drain_server,
+            self._chill_service,
             self._change_version,
         )
         async with asyncio.TaskGroup() as group:
@@ -205,6 +238,7 @@
             proxy.reset()
         await asyncio.sleep(self._span())
         proxy.fault = ''
+        self._store_disturbed_at = asyncio.get_running_loop().time()
 
     async def _disturb_server(self) -> None:
         server = self._rng.choice(self._fleet.servers)
@@ -230,6 +264,27 @@
         await asyncio.sleep(self._span())
         await self._fleet.register(server)
 
+    async def _chill_service(self) -> None:
+        """Let all servers of a service turn cold, as their entries say.
+
+        While others are warm, cold servers get little by themselves.
+        """
+        loop = asyncio.get_running_loop()
+        service = self._rng.choice(self._fleet.servers).service
+        servers = [one for one in self._fleet.servers if one.service == service]
+        for server in servers:
+            server.cold_until = loop.time() + COLD_S
+            await self._fleet.register(server)
+        known_at = loop.time() + COLD_KNOWN_S
+        await asyncio.sleep(COLD_S)
+        # Nodes that can't hear of it in time are not to blame.
+        disturbed = self._store_disturbed_at > known_at - 2 * COLD_KNOWN_S
+        if disturbed or self._fleet.store_proxy.fault:
+            return
+        self._cold_spans.extend(
+            ColdSpan(server, known_at, server.cold_until) for server in servers
+        )
+
     async def _change_version(self) -> None:
         self._version += 1
         await self._fleet.configure(self._version, bookings=1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,8 @@
 import pytest
 
 from standins.edge_fleet import SHARDS
-from standins.soak import Sent, Soak, soak
+from standins.shard_server import ShardServer
+from standins.soak import ColdSpan, Sent, Soak, soak
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -77,3 +78,15 @@
     ]
     run._check_runs()
     assert len(run.findings) == 2
+
+
+def test_cold_server_that_got_too_much_is_found():
+    """A server that starts falls over well above the rate that it bears."""
+    run = Soak(Fleet({}), 1)
+    server = ShardServer('s0-z0', 's0')
+    server.arrived = [1 + one / 20 for one in range(14)]
+    run._check_cold(ColdSpan(server, 0, 3))
+    assert run.findings == []
+    server.arrived = [1 + one / 20 for one in range(20)]
+    run._check_cold(ColdSpan(server, 0, 3))
+    assert len(run.findings) == 1
