--- a/tests/scenario_world.py
+++ b/tests/scenario_world.py
@@ -243,7 +243,7 @@
         self._tasks.start_soon(process.run)
 
     async def configure(self) -> None:
-        admin = self.processes[self.node_ids()[0]].admin
+        process = self.processes[self.node_ids()[0]]
         for name, kind, extra in (
             ('search', 'search', {'least_coverage': 0.5}),
             ('complete', 'search', {'at_deadline': 'wait'}),
@@ -258,21 +258,21 @@
                 'page_size': 1000,
                 **extra,
             }
-            await self._accept(admin, ChangeKind.TEMPLATE, name, body)
+            await self._accept(process, ChangeKind.TEMPLATE, name, body)
             for team in ('t1', 't2'):
                 await self._accept(
-                    admin,
+                    process,
                     ChangeKind.PARAMETERS,
                     f'{team}/{name}',
                     {'team': team, 'template': name},
                 )
 
-    async def _accept(self, admin, kind, key, body, expected=None):
-        outcome = await admin.apply(
+    async def _accept(self, process, kind, key, body, expected=None):
+        outcome = await process.admin.apply(
             kind, key, body, who='ann', expected=expected
         )
         while outcome['outcome'] != 'accepted':
-            if admin._node.confirmer.accepted_version >= outcome['version']:
+            if process.node.confirmer.accepted_version >= outcome['version']:
                 break
             await anyio.sleep(0.05)
         return outcome
@@ -464,7 +464,7 @@
         )
         started = anyio.current_time()
         outcome = await self._accept(
-            self.processes[via].admin,
+            self.processes[via],
             ChangeKind.ZONE,
             zone.name,
             {'in_service': zone.in_service},
@@ -488,13 +488,13 @@
     async def _race(self, race) -> None:
         async def change(via, in_service):
             started = anyio.current_time()
-            admin = self.processes[via].admin
-            expected = admin._node.state.entry_version(
+            process = self.processes[via]
+            expected = process.node.state.entry_version(
                 ChangeKind.ZONE, race.zone
             )
             try:
                 outcome = await self._accept(
-                    admin,
+                    process,
                     ChangeKind.ZONE,
                     race.zone,
                     {'in_service': in_service},
