Tell overload from missing servers in refusals and their log lines

A request refused since its line was too long, or since no server became free in time, was coded no_replica like one whose service has no servers. It is now deadline_hopeless, and the line bears the requests under way and the parts that wait. The test of the overload checks the code; it failed before.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -147,14 +147,12 @@
         """Return the time in which nearly all parts of a route are served."""
         return self.latency.long_s(self.now(), route)
 
-    def can_serve(self, job: Job, part: Part) -> bool:
+    def is_hopeful(self, job: Job, part: Part) -> bool:
         """Tell whether a part can probably be served in time.
 
         What is known to be hopeless is refused at once, so that the caller
         can do better with its time, and the line stays short.
         """
-        if not self.has_server(part):
-            return False
         ahead = self.lines.ahead(part.service, job.route.priority)
         if not ahead:
             return True
@@ -285,6 +283,8 @@
                 'missing': job.missing(),
                 'elapsed_ms': round(elapsed_s * 1000, 1),
                 'deadline_ms': round(job.req.deadline_s * 1000),
+                'under_way': len(self.jobs),
+                'parts_waiting': len(self.lines),
                 'version': self.fleet.table.version,
             },
         )
--- a/ibismount/edge_job.py
+++ b/ibismount/edge_job.py
@@ -114,6 +114,8 @@
         self._unpaid: set[Part] = set()
         # Parts that wait for a free server, each with its place in the line.
         self._waiting: dict[Part, _Wait] = {}
+        # A part found too long a line, or no free server in time.
+        self._hopeless = False
 
     @property
     def ended(self) -> bool:
@@ -132,7 +134,10 @@
         """Send every part once, unless too few can be had in time."""
         parts = self.gathering.parts
         for part in parts:
-            part.exhausted = not self._dispatch.can_serve(self, part)
+            if not self._dispatch.has_server(part):
+                part.exhausted = True
+            elif not self._dispatch.is_hopeful(self, part):
+                part.exhausted = self._hopeless = True
         if self.gathering.decide(self.started_at) is Decision.WAIT:
             for part in parts:
                 if not part.exhausted:
@@ -244,7 +249,7 @@
         """Wait in the service's line while an answer can still be in time."""
         if self._dispatch.now() >= self.last_send_at() and not part.attempts:
             self._stop_waiting(part)
-            part.exhausted = True
+            part.exhausted = self._hopeless = True
         elif part not in self._waiting:
             waiter = self._dispatch.lines.enter(
                 part.service,
@@ -370,7 +375,9 @@
         if not self.gathering.ran:
             return Outcome(
                 OutcomeKind.NOT_RUN,
-                code=ErrorCode.NO_REPLICA,
+                code=ErrorCode.DEADLINE_HOPELESS
+                if self._hopeless
+                else ErrorCode.NO_REPLICA,
                 retry_after_s=self._dispatch.retry_after_s(self.req),
             )
         late = self._dispatch.now() >= self.gathering.plan.end_at
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from ibismount.errors import ErrorCode
 from ibismount.routes import RouteTable
 from ibismount.waiting import WaitingLines, expected_wait_s
 from ibismount.wire_format import OutcomeKind
@@ -86,6 +87,9 @@
         assert in_time(ends) >= 0.9 * 80 * 6
         refused = [end for end in ends if end[0].retry_after_s]
         assert all(one.kind is OutcomeKind.NOT_RUN for one, _ in refused)
+        # The cause tells overload from a service without servers.
+        codes = {one.code for one, _ in refused}
+        assert codes == {ErrorCode.DEADLINE_HOPELESS}
         # Most of what can't be served is known at once.
         quick = [end for end in refused if end[1] < 0.01]
         assert len(quick) >= 0.8 * len(refused)
