--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -15,7 +15,6 @@
 import time
 import tracemalloc
 
-from ibismount._tree import Tree, coordinators
 from ibismount.cause import Origin
 from ibismount.config import Change, ChangeKind, ConfigState
 from ibismount.confirmation import Confirmer
@@ -31,6 +30,7 @@
     RoundResult,
 )
 from ibismount.roster import Member, Roster
+from ibismount.round_tree import Tree, coordinators
 
 SEED = 7
 SIZES = (60, 450, 1800)
--- a/bench/fan_out.py
+++ b/bench/fan_out.py
@@ -9,11 +9,11 @@
 import statistics
 
 from bench import _fleet
-from ibismount._routing import ReplicaIndex, RouteLoad
 from ibismount.assignment import Assignment, assign
 from ibismount.catalog import BackendServer, Catalog, Snapshot
 from ibismount.config import ConfigState
 from ibismount.planning import Planner, plan_search
+from ibismount.route_load import ReplicaIndex, RouteLoad
 from ibismount.view import NodeView
 
 NODES = 1800
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -18,10 +18,10 @@
 import trio.testing
 
 from bench._policy_model import FIRMS, ZONES, Client, Firm, Site
-from ibismount._search import SearchOptions
 from ibismount.admission import FairQueue
 from ibismount.backend import BackendCall, BackendError
 from ibismount.entry import AnswerStatus, EntryOptions, SearchRequest
+from ibismount.search_run import SearchOptions
 
 RESULTS = pathlib.Path(__file__).parent / 'results' / 'policy.json'
 SEED = 1
--- a/ibismount/_backend_row.py
+++ b/ibismount/_backend_row.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from ibismount._cold import Warmth
-from ibismount._handover import NOTHING, Limits
 from ibismount.catalog import BackendServer
+from ibismount.handover import NOTHING, Limits
+from ibismount.warmth import Warmth
 
 __all__ = ('BackendRow',)
 
--- a/ibismount/_booking.py
+++ b/ibismount/_booking.py
@@ -9,14 +9,14 @@
 
 from ibismount._dispatch import Dispatcher
 from ibismount._requests import AnswerStatus
-from ibismount._retries import GATEWAY_CODES
-from ibismount._routing import ReplicaIndex, Target
-from ibismount._search import SearchContext
 from ibismount.booking import BookingDesk, ClaimResult, ClaimStatus, Outcome
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode
 from ibismount.messages import BatchRequest, ItemReply, ItemStatus
 from ibismount.planning import Exclusions, Planner, choose_snapshot
+from ibismount.retries import GATEWAY_CODES
+from ibismount.route_load import ReplicaIndex, Target
+from ibismount.search_run import SearchContext
 from ibismount.template import Policy
 
 __all__ = ('BookingOutcome', 'BookingRun')
--- a/ibismount/_context.py
+++ b/ibismount/_context.py
@@ -1,12 +1,12 @@
 """What all parts of one node's confirmation share."""
 
-from ibismount._acceptance import Acceptance
 from ibismount._hooks import HookCarrier
 from ibismount._rounds import Collection, ConfirmOptions
-from ibismount._standing import Standing
-from ibismount._tree import Tree
+from ibismount.acceptance import Acceptance
 from ibismount.config import ConfigState
 from ibismount.roster import Member, Roster
+from ibismount.round_tree import Tree
+from ibismount.standing import Standing
 
 __all__ = ('Context',)
 
--- a/ibismount/_dispatch.py
+++ b/ibismount/_dispatch.py
@@ -10,7 +10,6 @@
 import anyio.abc
 
 from ibismount._requests import GatewayPort
-from ibismount._routing import RouteLoad, Target
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.messages import (
@@ -22,6 +21,7 @@
     ItemStatus,
 )
 from ibismount.planning import group_by_gateway
+from ibismount.route_load import RouteLoad, Target
 
 __all__ = ('Arrival', 'Attempt', 'Dispatcher')
 
--- a/ibismount/_own_rounds.py
+++ b/ibismount/_own_rounds.py
@@ -4,8 +4,6 @@
 
 from ibismount._context import Context
 from ibismount._rounds import Collection, judge
-from ibismount._standing import NEVER
-from ibismount._tree import LEAF_LEVEL, coordinators
 from ibismount.messages import (
     Envelope,
     RegionAccepted,
@@ -14,6 +12,8 @@
     RoundUp,
 )
 from ibismount.roster import Member
+from ibismount.round_tree import LEAF_LEVEL, coordinators
+from ibismount.standing import NEVER
 
 __all__ = ('OwnRounds',)
 
--- a/ibismount/_search_context.py
+++ b/ibismount/_search_context.py
@@ -4,10 +4,10 @@
 import random
 
 from ibismount._requests import GatewayPort
-from ibismount._retries import RetryOptions
-from ibismount._routing import RouteLoad
 from ibismount.hedging import ExtraLoadBudget, LatencyEstimate
 from ibismount.quarantine import Quarantine
+from ibismount.retries import RetryOptions
+from ibismount.route_load import RouteLoad
 from ibismount.view import NodeView
 
 __all__ = ('SearchContext', 'SearchOptions')
--- a/ibismount/capacity.py
+++ b/ibismount/capacity.py
@@ -5,11 +5,11 @@
 from typing import NamedTuple
 
 from ibismount._backend_row import BackendRow
-from ibismount._handover import NOTHING, Handover, limits_of
 from ibismount.assignment import Assignment
 from ibismount.catalog import BackendServer
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode
+from ibismount.handover import NOTHING, Handover, limits_of
 from ibismount.messages import Envelope, ShareRelease, WarmNotice
 from ibismount.template import MAX_DEADLINE_S
 
--- a/ibismount/confirmation.py
+++ b/ibismount/confirmation.py
@@ -7,7 +7,6 @@
 from ibismount._hooks import HookCarrier, QuarantineHook
 from ibismount._own_rounds import OwnRounds
 from ibismount._rounds import ConfirmOptions
-from ibismount._standing import NEVER
 from ibismount.config import ConfigState
 from ibismount.messages import (
     Envelope,
@@ -18,6 +17,7 @@
     RoundUp,
 )
 from ibismount.roster import Member
+from ibismount.standing import NEVER
 
 __all__ = ('ConfirmOptions', 'Confirmer', 'QuarantineHook')
 
--- a/ibismount/daemon.py
+++ b/ibismount/daemon.py
@@ -16,8 +16,8 @@
 from ibismount.errors import FindingsError, IbismountError
 from ibismount.link import Peers
 from ibismount.logs import configure_logs, part_logger
-from ibismount.parts import make_parts
 from ibismount.object_store import make_platform
+from ibismount.parts import make_parts
 from ibismount.roster import Member
 from ibismount.settings import Settings, load_settings
 from ibismount.telemetry import configure_telemetry
--- a/ibismount/entry.py
+++ b/ibismount/entry.py
@@ -25,10 +25,7 @@
     SearchAnswer,
     SearchRequest,
 )
-from ibismount._routing import ReplicaIndex, RouteLoad
-from ibismount._search import SearchContext, SearchOptions, SearchRun
 from ibismount._tracing import Hop, hop_span
-from ibismount._verdict import first_cause, judge
 from ibismount.admission import EntryAdmission
 from ibismount.booking import BookingDesk
 from ibismount.cause import Cause, system_cause
@@ -36,7 +33,10 @@
 from ibismount.hedging import ExtraLoadBudget, LatencyEstimate
 from ibismount.messages import BatchRequest
 from ibismount.quarantine import Quarantine
+from ibismount.route_load import ReplicaIndex, RouteLoad
+from ibismount.search_run import SearchContext, SearchOptions, SearchRun
 from ibismount.template import Kind, Policy
+from ibismount.verdict import first_cause, judge
 from ibismount.view import NodeView
 
 __all__ = (
--- a/ibismount/gateway.py
+++ b/ibismount/gateway.py
@@ -7,16 +7,16 @@
 from opentelemetry import metrics
 
 from ibismount._item import ItemRun, SentOnce
-from ibismount._lane import Lane
-from ibismount._settling import Settler
 from ibismount._tracing import hop_span
 from ibismount.backend import BackendClient
 from ibismount.capacity import CapacityTable, Permit
 from ibismount.catalog import BackendServer
 from ibismount.cause import Cause
 from ibismount.errors import IbismountError
+from ibismount.lane import Lane
 from ibismount.messages import BatchReply, BatchRequest, Cancel, Item, ItemReply
 from ibismount.quarantine import Quarantine
+from ibismount.settling import Settler
 from ibismount.view import NodeView
 
 __all__ = ('Gateway', 'GatewayOptions')
--- a/ibismount/node.py
+++ b/ibismount/node.py
@@ -9,11 +9,11 @@
 import anyio
 
 from ibismount import messages
+from ibismount._state_encoding import decode_state, encode_state
 from ibismount.assignment import Assigner, Assignment
 from ibismount.capacity import CapacityTable
 from ibismount.catalog import BackendServer
 from ibismount.cause import Cause, system_cause
-from ibismount._state_encoding import decode_state, encode_state
 from ibismount.changelog import (
     ChangeLog,
     CommitResult,
--- a/ibismount/planning.py
+++ b/ibismount/planning.py
@@ -5,10 +5,10 @@
 import random
 from collections.abc import Sequence
 
-from ibismount._routing import ReplicaIndex, RouteLoad, Target
 from ibismount.catalog import BackendServer, Catalog, Snapshot
 from ibismount.cause import Cause, Origin, system_cause
 from ibismount.errors import ErrorCode, IbismountError
+from ibismount.route_load import ReplicaIndex, RouteLoad, Target
 from ibismount.view import NodeView
 
 __all__ = (
--- a/ibismount/_retries.py
+++ b/ibismount/retries.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 from ibismount._dispatch import Attempt
-from ibismount._routing import RouteLoad, Target
 from ibismount.assignment import Assignment
 from ibismount.errors import ErrorCode
 from ibismount.messages import ItemReply
 from ibismount.planning import Exclusions
+from ibismount.route_load import RouteLoad, Target
 
 __all__ = ('Fault', 'RetryOptions', 'ShardState', 'classify', 'note_fault')
 
--- a/ibismount/_search.py
+++ b/ibismount/search_run.py
@@ -10,16 +10,9 @@
 import anyio
 import anyio.abc
 
-from ibismount._canary import Admit, CanaryGate
 from ibismount._dispatch import Arrival, Attempt, Dispatcher
-from ibismount._retries import (
-    Fault,
-    ShardState,
-    classify,
-    note_fault,
-)
-from ibismount._routing import ReplicaIndex, Target
 from ibismount._search_context import SearchContext, SearchOptions
+from ibismount.canary import Admit, CanaryGate
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode
 from ibismount.merging import Merge, MergeOutcome
@@ -31,6 +24,13 @@
     choose_snapshot,
     plan_search,
 )
+from ibismount.retries import (
+    Fault,
+    ShardState,
+    classify,
+    note_fault,
+)
+from ibismount.route_load import ReplicaIndex, Target
 from ibismount.template import AtDeadline, Policy
 
 __all__ = ('SearchContext', 'SearchOptions', 'SearchRun')
--- a/ibismount/_verdict.py
+++ b/ibismount/verdict.py
@@ -1,10 +1,10 @@
 """Decide what a finished search may truthfully be called."""
 
 from ibismount._requests import AnswerStatus
-from ibismount._search import SearchRun
 from ibismount.cause import Cause, system_cause
 from ibismount.errors import ErrorCode
 from ibismount.merging import Coverage
+from ibismount.search_run import SearchRun
 from ibismount.template import Policy
 
 __all__ = ('first_cause', 'judge')
--- a/ibismount/_cold.py
+++ b/ibismount/warmth.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from ibismount._handover import Limits
 from ibismount.catalog import BackendServer
+from ibismount.handover import Limits
 
 __all__ = ('Evidence', 'Warmth')
 
--- a/tests/scenario_world.py
+++ b/tests/scenario_world.py
@@ -23,8 +23,8 @@
 from ibismount.entry import BookingRequest, SearchRequest
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.messages import BatchRequest
-from ibismount.parts import make_parts
 from ibismount.object_store import PlatformError
+from ibismount.parts import make_parts
 from ibismount.roster import Member
 from standins.platform import ObjectStore
 from tests import history as recorded
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,13 +6,13 @@
 import random
 from collections import Counter
 
-from ibismount._cold import Warmth
-from ibismount._handover import Handover, limits_of
 from ibismount.assignment import Assignment, Share
 from ibismount.capacity import CapacityOptions, CapacityTable, Permit
 from ibismount.catalog import BackendServer
 from ibismount.errors import ErrorCode
+from ibismount.handover import Handover, limits_of
 from ibismount.messages import ShareRelease, WarmNotice
+from ibismount.warmth import Warmth
 
 NODES = ('a', 'b', 'c', 'd')
 # Server id to the number of gateways that each map gives it.
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,7 +7,6 @@
 import anyio
 import pytest
 
-from ibismount._settling import Settler
 from ibismount.admission import FairQueue
 from ibismount.booking import BookingDesk, ClaimResult, ClaimStatus
 from ibismount.catalog import Snapshot
@@ -23,8 +22,9 @@
 from ibismount.merging import Merge
 from ibismount.messages import BatchReply, ItemStatus
 from ibismount.quarantine import RunMode
-from ibismount._search import SearchOptions
-from ibismount._routing import RouteLoad
+from ibismount.route_load import RouteLoad
+from ibismount.search_run import SearchOptions
+from ibismount.settling import Settler
 from tests.data_fakes import (
     COLLECTION,
     Cluster,
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from ibismount._cursor import Cursor, decode_cursor, encode_cursor
-from ibismount._routing import ReplicaIndex, RouteLoad, Target
 from ibismount.catalog import Catalog, Snapshot
 from ibismount.cause import Origin
 from ibismount.config import Change, ChangeKind, ServiceState
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.planning import Exclusions, Planner, plan_search
+from ibismount.route_load import ReplicaIndex, RouteLoad, Target
 from tests.data_fakes import COLLECTION, Cluster, names
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ibismount.config import Change, ChangeKind, ConfigState
 from ibismount.cause import Origin
+from ibismount.config import Change, ChangeKind, ConfigState
 from ibismount.confirmation import Confirmer
 from ibismount.quarantine import Quarantine, QuarantineOptions, RunMode
 from ibismount.roster import Member
