Keep repeated parts out of the lines

Cause: a part that lost its attempt and found no other free server took a place in the line of its service. It may not use the server that it tried, so it kept first attempts behind it waiting although they could use that server, for up to 30 ms, and a part whose servers were all gone kept its place until its request ended. Change: only first attempts stand in a line; repeated ones are tried again every 5 ms, as before the lines.

--- a/ibismount/edge_job.py
+++ b/ibismount/edge_job.py
@@ -43,11 +43,11 @@
     # Share of the target for which a lost part waits for the budget. A search
     # that fails soon can still be asked again in time.
     budget_wait_share: float = 0.2
-    # Pause before a part that found no free server is tried again, besides
-    # the moments at which a server becomes free: permits come with time.
-    server_pause_s: float = 0.03
-    # The same for a part that waits for the budget of extra requests.
-    budget_pause_s: float = 0.005
+    # Pause before a part in a line is tried again, besides the moments at
+    # which a server becomes free: permits come with time.
+    line_pause_s: float = 0.03
+    # Pause before a further attempt that found no free server, or no budget.
+    retry_pause_s: float = 0.005
     # Time for which an overdue server gets no new request: a usual pause.
     overdue_hold_s: float = 0.2
     # Most rejections of one part before it counts as failed.
@@ -56,14 +56,6 @@
     jobs_most: int = 2000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Wait:
-    """A part in a line; ``extra``: a further attempt of it."""
-
-    waiter: Waiter
-    extra: bool
-
-
 class Sending:
     """One attempt on its way; gets the outcome of its exchange."""
 
@@ -110,10 +102,12 @@
         self._failure: ServerAnswer | None = None
         self._rejections = 0
         self._timer: asyncio.TimerHandle | None = None
-        # Parts whose further attempt waits for the budget.
-        self._unpaid: set[Part] = set()
-        # Parts that wait for a free server, each with its place in the line.
-        self._waiting: dict[Part, _Wait] = {}
+        # Parts that wait for their first attempt, with their place in line.
+        self._waiting: dict[Part, Waiter] = {}
+        # Parts whose further attempt is tried again soon, and whether it
+        # counts as extra. They may not use every server, so in a line they
+        # would keep back others that can.
+        self._repeating: dict[Part, bool] = {}
         # A part found too long a line, or no free server in time.
         self._hopeless = False
 
@@ -217,7 +211,7 @@
         dispatch = self._dispatch
         ranked = dispatch.ranked(part)
         if not ranked:
-            part.exhausted = True
+            self._give_up(part)
             return False
         if extra and not dispatch.budget.spend(
             part.service, urgent=not part.open
@@ -228,7 +222,7 @@
         if not self._overtakes(part):
             for server in ranked:
                 if self._send_to(part, server):
-                    self._stop_waiting(part)
+                    self._leave_line(part)
                     if not extra:
                         dispatch.budget.earn(part.service)
                     return True
@@ -238,44 +232,47 @@
             self._await_server(part, extra=extra)
         return False
 
+    def _give_up(self, part: Part) -> None:
+        self._leave_line(part)
+        part.exhausted = True
+
     def _overtakes(self, part: Part) -> bool:
         """Tell whether others have waited for the same servers before."""
-        if part in self._waiting:
+        if part.tried or part in self._waiting:
             return False
         lines = self._dispatch.lines
         return bool(lines.ahead(part.service, self.route.priority))
 
     def _await_server(self, part: Part, *, extra: bool) -> None:
-        """Wait in the service's line while an answer can still be in time."""
-        if self._dispatch.now() >= self.last_send_at() and not part.attempts:
-            self._stop_waiting(part)
-            part.exhausted = self._hopeless = True
+        """Wait for a server while an answer can still be in time."""
+        if part.tried:
+            self._repeating[part] = extra
+        elif self._dispatch.now() >= self.last_send_at():
+            self._hopeless = True
+            self._give_up(part)
         elif part not in self._waiting:
-            waiter = self._dispatch.lines.enter(
+            self._waiting[part] = self._dispatch.lines.enter(
                 part.service,
                 self.route.priority,
                 lambda: self._resume(part),
             )
-            self._waiting[part] = _Wait(waiter, extra)
 
     def _resume(self, part: Part) -> None:
-        wait = self._waiting.get(part)
-        if wait is not None and not self.ended:
-            self._send(part, extra=wait.extra)
+        if part in self._waiting and not self.ended:
+            self._send(part)
             self._decide()
 
-    def _stop_waiting(self, part: Part) -> None:
-        wait = self._waiting.pop(part, None)
-        if wait is not None:
-            self._dispatch.lines.leave(wait.waiter)
+    def _leave_line(self, part: Part) -> None:
+        waiter = self._waiting.pop(part, None)
+        if waiter is not None:
+            self._dispatch.lines.leave(waiter)
 
     def _await_budget(self, part: Part) -> None:
         """Try a part again when the budget has filled up, for a while."""
         wait_s = self.route.target_s * self._dispatch.options.budget_wait_share
         if self._dispatch.now() < self.started_at + wait_s:
-            self._unpaid.add(part)
+            self._repeating[part] = True
         else:
-            self._stop_waiting(part)
             part.exhausted = True
 
     def _send_to(self, part: Part, server: Server) -> bool:
@@ -326,9 +323,9 @@
         moment = self.gathering.next_check(now)
         options = self._dispatch.options
         if self._waiting:
-            moment = min(moment, now + options.server_pause_s)
-        if self._unpaid:
-            moment = min(moment, now + options.budget_pause_s)
+            moment = min(moment, now + options.line_pause_s)
+        if self._repeating:
+            moment = min(moment, now + options.retry_pause_s)
         if self._timer is not None:
             # A timer that fires early only decides once more.
             if self._timer.when() <= moment:
@@ -339,11 +336,11 @@
     def _tick(self) -> None:
         self._timer = None
         now = self._dispatch.now()
-        unpaid, self._unpaid = self._unpaid, set()
-        for part in unpaid:
-            self._send(part, extra=True)
-        for part, wait in list(self._waiting.items()):
-            self._send(part, extra=wait.extra)
+        repeating, self._repeating = self._repeating, {}
+        for part, extra in repeating.items():
+            self._send(part, extra=extra)
+        for part in list(self._waiting):
+            self._send(part)
         for part in self.gathering.due_hedges(now):
             part.next_hedge_at = math.inf
             self._note_overdue(part, now)
@@ -413,7 +410,7 @@
 
     def _leave_lines(self) -> None:
         for part in list(self._waiting):
-            self._stop_waiting(part)
+            self._leave_line(part)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -134,3 +134,28 @@
         assert took_s < 2 * WORK_S
 
     run_jumping(main)
+
+
+def test_repeat_that_finds_no_server_keeps_nobody_back():
+    """A part that may not use a free server kept those behind it waiting."""
+
+    async def main():
+        world = lookup_world()
+        lost, *others = world.of('lookup')
+        # The others are busy; the first one loses one answer and is free.
+        for one in others:
+            one.paused_until = asyncio.get_running_loop().time() + 3
+        futs = [
+            world.submit(b'/lookup/x', deadline_ms=4000)[2] for _ in range(18)
+        ]
+        outcomes = iter(('reset',))
+        lost.behave = lambda exchange: next(outcomes, 'answer')
+        await asyncio.sleep(WORK_S)
+        # It is avoided for half a second after a lost connection.
+        await asyncio.sleep(0.7)
+        outcome, took_s = await world.ask(b'/lookup/x', deadline_ms=4000)
+        assert outcome.kind is OutcomeKind.RELAYED
+        assert took_s < WORK_S + 0.01
+        await asyncio.gather(*futs)
+
+    run_jumping(main)
