Bound what a server can send beside and in a response

Cause: the bound on a head was checked only when a header was complete, and each interim response reset the count. A header name or value, a reason phrase, a chunk extension, interim responses, empty lines or trailers without end were read on without a bound; 64 MB of a header value took 128 MB of memory. A length of 2^63 was read until 8 MB had arrived, and all responses under way together had no bound.

Change: all bytes of an exchange count. Bytes beside the body may be 64 KiB and a quarter of the body, a stated length beyond the bound fails at once, and responses received in part share 32 MB; the largest is closed when that is exceeded. A failed exchange counts as a loss at the server, as before.

--- a/ibismount/http_client.py
+++ b/ibismount/http_client.py
@@ -17,6 +17,7 @@
     'Connection',
     'ExchangeFailure',
     'RawResponse',
+    'ResponseMemory',
     'configure_tcp_socket',
     'connect',
 )
@@ -26,9 +27,17 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
-# A response is buffered whole, head and body, up to this size.
+# A body is buffered whole up to this size.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-MAX_HEAD_BYTES = 64 * 1024
+# Bytes beside the body: heads, interim responses, framing of chunks, trailers.
+# The parser keeps an unfinished name or value itself, so raw bytes are counted.
+MAX_OVERHEAD_BYTES = 64 * 1024
+# Chunks of a body may have this many bytes of framing for each byte of it: 32
+# bytes in a chunk have six.
+MAX_OVERHEAD_PER_BODY_BYTE = 0.25
+# All responses that are received in part, on all connections. The smallest VM
+# has 152 MB, of which the process itself uses about 30 MB.
+MAX_MEMORY_BYTES = 32 * 1024 * 1024
 
 
 class ExchangeFailure(enum.Enum):
@@ -66,6 +75,36 @@
         """Handle the end of an exchange that will get no response."""
 
 
+class ResponseMemory:
+    """Bound the bytes of all responses that are received in part.
+
+    When the bound is exceeded, the connection that holds the most is closed,
+    so that one flooding server does not fail the responses of others.
+
+    Args:
+        max_bytes: Bound in bytes.
+    """
+
+    def __init__(self, max_bytes: int = MAX_MEMORY_BYTES) -> None:
+        """Start with nothing held."""
+        self._max_bytes = max_bytes
+        self._held: dict[Connection, int] = {}
+        self.held_bytes = 0
+
+    def hold(self, conn: 'Connection', size: int) -> None:
+        """Note that a connection now holds ``size`` bytes in all."""
+        self.held_bytes += size - self._held.get(conn, 0)
+        self._held[conn] = size
+        while self.held_bytes > self._max_bytes:
+            largest = max(self._held, key=self._held.__getitem__)
+            self.release(largest)
+            largest.fail_exchange()
+
+    def release(self, conn: 'Connection') -> None:
+        """Note that a connection holds nothing any more."""
+        self.held_bytes -= self._held.pop(conn, 0)
+
+
 def configure_tcp_socket(sock: socket.socket) -> None:
     """Disable Nagle's algorithm, and detect a dead peer within seconds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -78,10 +117,15 @@
 
 
 class Connection(asyncio.Protocol):
-    """One client connection; ``on_idle`` and ``on_closed`` notify its pool."""
+    """One client connection; ``on_idle`` and ``on_closed`` notify its pool.
+
+    Args:
+        memory: Bound that the connections of a process share.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory | None = None) -> None:
         """Start without a transport."""
+        self._memory = memory or _process_memory
         self.on_closed: Callable[[Connection], None] | None = None
         self.on_idle: Callable[[Connection], None] | None = None
         self.idle_timeout_s: float | None = None
@@ -98,6 +142,9 @@
         """Start an exchange."""
         self._owner = owner
         self._parser = httptools.HttpResponseParser(self)
+        # Bytes of this exchange, over all of its messages.
+        self._raw_bytes = 0
+        self._body_bytes = 0
         self._reset_message()
         self._transport.write(request)
 
@@ -105,6 +152,7 @@
         """Close at once, without notifying the owner of an exchange."""
         self._owner = None
         self.closed = True
+        self._memory.release(self)
         if self._transport is not None:
             self._transport.abort()
 
@@ -113,6 +161,10 @@
         if self._owner is owner:
             self.close()
 
+    def fail_exchange(self) -> None:
+        """Close, and report the exchange under way as broken."""
+        self._fail(ExchangeFailure.BROKEN)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
         self._transport = transport
@@ -123,16 +175,29 @@
         if self._owner is None:
             self.close()
             return
+        self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError):
             # Responses that were complete before the bad bytes are valid.
             self._close_after_exchange = True
             self._deliver_responses()
-            self._fail(ExchangeFailure.BROKEN)
+            self.fail_exchange()
             return
         if self._responses:
             self._deliver_responses()
+        if self._owner is None:
+            self._memory.release(self)
+        elif self._has_too_much_overhead():
+            self.fail_exchange()
+        else:
+            self._memory.hold(self, self._raw_bytes)
+
+    def _has_too_much_overhead(self) -> bool:
+        max_overhead = (
+            MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        )
+        return self._raw_bytes - self._body_bytes > max_overhead
 
     def eof_received(self) -> None:
         """Complete a response whose end is that of the connection."""
@@ -148,7 +213,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange under way and notify the pool."""
         self.closed = True
-        self._fail(ExchangeFailure.BROKEN)
+        self._memory.release(self)
+        self.fail_exchange()
         if self.on_closed is not None:
             self.on_closed(self)
 
@@ -160,11 +226,10 @@
     def on_header(self, name: bytes, header_value: bytes) -> None:
         """Store a header; called by the parser."""
         name = name.lower()
-        self._received_bytes += len(name) + len(header_value)
-        if self._received_bytes > MAX_HEAD_BYTES:
-            raise ValueError('response head exceeds MAX_HEAD_BYTES')
         if name in _FRAMING_HEADERS:
             self._has_framing = True
+            if name == b'content-length':
+                _check_content_length(header_value)
         elif name == b'keep-alive':
             self.idle_timeout_s = _parse_keep_alive_timeout_s(header_value)
         self._headers.append((name, header_value))
@@ -178,8 +243,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body; called by the parser."""
-        self._received_bytes += len(chunk)
-        if self._received_bytes > MAX_RESPONSE_BYTES:
+        self._body_bytes += len(chunk)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
             raise ValueError('response exceeds MAX_RESPONSE_BYTES')
         self._body.append(chunk)
 
@@ -194,7 +259,6 @@
     def _reset_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._received_bytes = 0
         self._status = 0
         self._head_complete = False
         # The response states where its body ends.
@@ -241,10 +305,16 @@
             owner.on_exchange_failed(failure)
 
 
+_process_memory = ResponseMemory()
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
+def _check_content_length(header_value: bytes) -> None:
+    if header_value.isdigit() and int(header_value) > MAX_RESPONSE_BYTES:
+        raise ValueError('response exceeds MAX_RESPONSE_BYTES')
+
+
 def _parse_keep_alive_timeout_s(header_value: bytes) -> float | None:
     for parameter in header_value.split(b','):
         key, _, timeout = parameter.partition(b'=')
