Count bytes by cause and availability zone

Change: each node counts the bytes of first and extra attempts at servers with their answers, and what it sends to other nodes as changes and probes, by the zone of the other side; served as ibismount_traffic_bytes_total. Ruled out: counting at the sockets, which do not know what bytes are for.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -43,6 +43,7 @@
 from ibismount.routes import CallerLimits, RouteTable
 from ibismount.server_connection_pool import ServerConnectionPool
 from ibismount.wire_format import Outcome, RequestError, WireFormat
+from ibismount.zone_traffic import ZoneTraffic
 
 __all__ = ('Edge', 'main', 'make_edge')
 
@@ -158,6 +159,7 @@
             now=loop.time,
             rng=rng,
         )
+        traffic = ZoneTraffic(cfg.node.zone)
         own = _own_member(cfg)
         self.peers = Peers(
             own,
@@ -165,6 +167,7 @@
             fleet=self.fleet,
             feed=self.feed,
             rng=rng,
+            traffic=traffic,
             is_seed=any(
                 seed.startswith(f'{own.id}:') for seed in cfg.node.seeds
             ),
@@ -192,6 +195,7 @@
             rng=rng,
             node_share=self.node_share,
             cold_limiter=ColdRateLimiter(cfg.node.ip),
+            traffic=traffic,
         )
         self._serving_endpoint = _ServingEndpoint(self)
         self._status_endpoint = _StatusEndpoint(self)
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -35,6 +35,7 @@
     ServerAnswer,
     WireFormat,
 )
+from ibismount.zone_traffic import TrafficKind, ZoneTraffic
 
 __all__ = ('DispatchOptions', 'EdgeDispatch', 'RequestJob')
 
@@ -68,6 +69,7 @@
         rng: Source of randomness.
         node_share: Returns this node's share of the limits of servers.
         cold_limiter: Limit on requests to cold servers.
+        traffic: Counts the bytes exchanged with servers.
         options: Times and limits.
     """
 
@@ -82,6 +84,7 @@
         rng: random.Random,
         node_share: Callable[[], NodeShare],
         cold_limiter: ColdRateLimiter,
+        traffic: ZoneTraffic,
         options: DispatchOptions = _DEFAULTS,
     ) -> None:
         """Start without requests."""
@@ -93,7 +96,8 @@
         self.wire = wire
         self.options = options
         self.jobs: set[RequestJob] = set()
-        self.metrics = EdgeMetrics(self._gauges)
+        self.traffic = traffic
+        self.metrics = EdgeMetrics(self._gauges, traffic)
         self._rng = rng
         self.node_share = node_share
         self._traffic_split = TrafficSplit(rng)
@@ -211,8 +215,20 @@
         self._in_flight[server.service] += 1
         return health
 
-    def end_attempt(self, call: ServerCall) -> None:
-        """Count the end of an attempt; let the first waiter take its place."""
+    def end_attempt(self, call: ServerCall, received_bytes: int) -> None:
+        """Count the end of an attempt; let the first waiter take its place.
+
+        Args:
+            call: The attempt.
+            received_bytes: Size of its answer; 0 if there was none.
+        """
+        self.traffic.add(
+            TrafficKind.EXTRA_ATTEMPT
+            if call.extra
+            else TrafficKind.FIRST_ATTEMPT,
+            call.server.zone,
+            call.sent_bytes + received_bytes,
+        )
         call.health.in_flight -= 1
         service = call.server.service
         self._in_flight[service] -= 1
--- a/ibismount/edge_metrics.py
+++ b/ibismount/edge_metrics.py
@@ -8,6 +8,8 @@
 import collections
 from collections.abc import Callable
 
+from ibismount.zone_traffic import ZoneTraffic
+
 __all__ = ('LATENCY_BOUNDS_S', 'EdgeMetrics')
 
 # Upper bounds of the latency histogram in seconds; the targets of the routes
@@ -35,11 +37,15 @@
 
     Args:
         gauges: Returns current values by name, read at each scrape.
+        traffic: Bytes exchanged with servers and other nodes.
     """
 
-    def __init__(self, gauges: Callable[[], dict[str, float]]) -> None:
+    def __init__(
+        self, gauges: Callable[[], dict[str, float]], traffic: ZoneTraffic
+    ) -> None:
         """Start at zero."""
         self._gauges = gauges
+        self._traffic = traffic
         self._requests: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -95,6 +101,14 @@
             'Shards that answered searches left out.',
             value=self.missing_parts,
         )
+        traffic = core.CounterMetricFamily(
+            'ibismount_traffic_bytes',
+            'Bytes exchanged, by cause and zone of the other side.',
+            labels=('cause', 'zone'),
+        )
+        for labels, size in self._traffic.bytes_by_cause().items():
+            traffic.add_metric(labels, size)
+        yield traffic
         yield self._latency_family(core)
         for name, gauge_value in self._gauges().items():
             yield core.GaugeMetricFamily(
--- a/ibismount/http_client.py
+++ b/ibismount/http_client.py
@@ -51,11 +51,15 @@
 
 @dataclasses.dataclass(slots=True)
 class RawResponse:
-    """One complete HTTP response, with lower-case header names."""
+    """One complete HTTP response, with lower-case header names.
+
+    ``received_bytes`` is what the exchange had received by its end, in bytes.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    received_bytes: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -267,7 +271,12 @@
 
     def _finish_message(self) -> None:
         self._responses.append(
-            RawResponse(self._status, self._headers, b''.join(self._body))
+            RawResponse(
+                self._status,
+                self._headers,
+                b''.join(self._body),
+                self._raw_bytes,
+            )
         )
         self._head_complete = False
 
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -21,6 +21,7 @@
 )
 from ibismount.probe_messages import Envelope
 from ibismount.source_election import SourceElection
+from ibismount.zone_traffic import TrafficKind, ZoneTraffic
 
 __all__ = ('PeerOptions', 'Peers')
 
@@ -114,10 +115,13 @@
         """Subscribe to the view of ``peers`` once connected."""
         self._peers = peers
         self._transport: asyncio.Transport | None = None
+        # IP address of the subscriber, which is also the id of its node.
+        self._host = ''
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Send a snapshot of the view."""
         self._transport = transport
+        self._host = transport.get_extra_info('peername')[0]
         configure_tcp_socket(transport.get_extra_info('socket'))
         self._peers.subscribers.add(self)
         self._peers.send_snapshot(self)
@@ -136,6 +140,7 @@
             self._transport.abort()
         else:
             self._transport.write(raw)
+            self._peers.count_sent(self._host, len(raw))
 
 
 class _UpstreamLink(asyncio.Protocol):
@@ -193,6 +198,7 @@
         fleet: View that is shared with the peers.
         feed: Watches the store while this node is a source.
         rng: Source of randomness.
+        traffic: Counts the bytes sent to other nodes.
         is_seed: Whether the settings of other nodes name this node as a seed.
         options: Times and limits.
     """
@@ -205,6 +211,7 @@
         fleet: FleetState,
         feed: ChangeFeed,
         rng: random.Random,
+        traffic: ZoneTraffic,
         is_seed: bool = False,
         options: PeerOptions = _DEFAULT_OPTIONS,
     ) -> None:
@@ -213,6 +220,7 @@
         self._own_member = own_member
         self._fleet = fleet
         self._feed = feed
+        self._traffic = traffic
         self._options = options
         self._now = loop.time
         self._started_at = loop.time()
@@ -289,6 +297,12 @@
             encode_frame(self._make_heartbeat()), self._options.max_unread_bytes
         )
 
+    def count_sent(self, host: str, size: int) -> None:
+        """Count bytes that were sent to a subscriber."""
+        member = self._membership.lookup(host)
+        zone = member.availability_zone if member else ''
+        self._traffic.add(TrafficKind.VIEW, zone, size)
+
     def probe_received(self, sender: str, message: object) -> None:
         """Handle a probe message and send the answers."""
         self._send_probes(
@@ -393,6 +407,8 @@
             if member is None:
                 continue
             host, _, port = member.link_address.rpartition(':')
-            self._socket.send(
-                host, int(port), encode_probe(self._own_member.id, message)
+            raw = encode_probe(self._own_member.id, message)
+            self._traffic.add(
+                TrafficKind.PROBE, member.availability_zone, len(raw)
             )
+            self._socket.send(host, int(port), raw)
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -61,17 +61,36 @@
 class ServerCall:
     """One attempt at a backend server; receives the result of its exchange."""
 
-    __slots__ = ('_job', 'attempt', 'health', 'pending', 'server')
+    __slots__ = (
+        '_job',
+        'attempt',
+        'extra',
+        'health',
+        'pending',
+        'sent_bytes',
+        'server',
+    )
 
-    def __init__(self, job: 'RequestJob', server: Server) -> None:
+    def __init__(
+        self, job: 'RequestJob', server: Server, *, extra: bool
+    ) -> None:
         """Start without an attempt; it is recorded when the exchange starts."""
         self._job = job
         self.server = server
+        # The attempt is a hedge or a retry.
+        self.extra = extra
+        self.sent_bytes = 0
         self.attempt: Attempt | None = None
         self.pending: PendingExchange | None = None
         # Kept here, because a restart replaces the health of the server.
         self.health: ServerHealth | None = None
 
+    def encode(self) -> bytes:
+        """Encode the request when it is about to be sent."""
+        raw = self._job.encode_for(self.server)
+        self.sent_bytes = len(raw)
+        return raw
+
     def on_response(self, response: RawResponse) -> bool:
         """Pass on a response; return False if it belongs to another request."""
         return self._job.handle_answer(self, response)
@@ -156,6 +175,14 @@
             if not part.answered
         }
 
+    def encode_for(self, server: Server) -> bytes:
+        """Encode the request for a server, with the time that is left."""
+        elapsed_s = self._dispatch.now() - self.started_at
+        remaining_s = min(self.req.deadline_s, self.route.timeout_s) - elapsed_s
+        return self._dispatch.wire.encode_request(
+            self.req, server, max(0.001, remaining_s)
+        )
+
     def caller_left(self) -> None:
         """Cancel the request, because its caller has left."""
         if self.ended:
@@ -172,7 +199,7 @@
         answer = dispatch.wire.read_answer(self.req, raw)
         if answer.kind is AnswerKind.OTHER_REQUEST:
             return False
-        self._close_call(call)
+        self._close_call(call, raw.received_bytes)
         dispatch.record_answer(self, call, answer)
         attempt, tracker = call.attempt, self.tracker
         if answer.kind is AnswerKind.ANSWER:
@@ -297,13 +324,11 @@
         dispatch = self._dispatch
         if not dispatch.reserve(server):
             return False
-        call = ServerCall(self, server)
+        call = ServerCall(self, server, extra=bool(part.attempts))
         call.pending = dispatch.pool.start_exchange(
             (server.host, server.port),
             call,
-            lambda: dispatch.wire.encode_request(
-                self.req, server, self._remaining_s()
-            ),
+            call.encode,
             max_open=dispatch.connection_limit(server),
         )
         if call.pending is None:
@@ -314,16 +339,10 @@
         call.health = dispatch.begin_attempt(server)
         return True
 
-    def _remaining_s(self) -> float:
-        elapsed_s = self._dispatch.now() - self.started_at
-        return max(
-            0.001, min(self.req.deadline_s, self.route.timeout_s) - elapsed_s
-        )
-
-    def _close_call(self, call: ServerCall) -> None:
+    def _close_call(self, call: ServerCall, received_bytes: int = 0) -> None:
         if call in self._open_calls:
             self._open_calls.discard(call)
-            self._dispatch.end_attempt(call)
+            self._dispatch.end_attempt(call, received_bytes)
 
     def _apply_decision(self) -> None:
         if self.ended:
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -15,6 +15,7 @@
 from ibismount.platform.wire import PlatformWireFormat
 from ibismount.routes import Route, RouteTable, Service, WeightedService
 from ibismount.server_table import Server
+from ibismount.zone_traffic import ZoneTraffic
 
 NETWORK_S = 0.001
 SHARDS = tuple(f's{number}' for number in range(10))
@@ -218,6 +219,7 @@
             rng=rng,
             node_share=lambda: NodeShare(nodes, nodes, 1 / nodes),
             cold_limiter=ColdRateLimiter('n0'),
+            traffic=ZoneTraffic('z0'),
             options=options,
         )
         self.dispatch.cold_limiter.set_nodes(
