Keep a server that left out of the view of a restarted node

Cause: a restarted node has no tombstones.

Ruled out: longer tombstones, since a fresh process has none.

--- a/ibismount/fleet_state.py
+++ b/ibismount/fleet_state.py
@@ -94,6 +94,9 @@
         self.zones_revision = 0
         # Revision of the newest complete list, or of a later change.
         self.servers_revision = 0
+        # Revision of the newest complete list. An older entry that this view
+        # lacks has been removed since.
+        self._listed_revision = 0
         # Number of changes to the view. Data derived from the view is valid
         # until this number changes.
         self.change_count = 0
@@ -158,6 +161,11 @@
                     tuple(self.servers.all_servers()), self.servers_revision
                 )
             )
+            now = self._now()
+            changes.extend(
+                ServerRemoved(server.id, server.revision, max(0, gone_at - now))
+                for server, gone_at in self.servers.pending_removals()
+            )
         if self.zones_revision:
             changes.append(
                 ZonesListed(tuple(self.zones_out), self.zones_revision)
@@ -174,7 +182,7 @@
 
     def _apply_server(self, change: ServerChanged) -> bool:
         self._advance_servers_revision(change.server.revision)
-        return self.servers.upsert(self._now(), change.server)
+        return self._upsert(change.server)
 
     def _apply_removal(self, change: ServerRemoved) -> bool:
         self._advance_servers_revision(change.revision)
@@ -189,12 +197,10 @@
         if change.revision < self.servers_revision:
             # An old list removes nothing, but may hold entries that this view
             # lacks.
-            upserts = [
-                self.servers.upsert(self._now(), server)
-                for server in change.servers
-            ]
+            upserts = [self._upsert(server) for server in change.servers]
             return any(upserts)
         newer = change.revision > self.servers_revision
+        self._listed_revision = change.revision
         self._advance_servers_revision(change.revision)
         changed = self.servers.replace(
             self._now(),
@@ -206,6 +212,13 @@
         # would forward it to each other without end.
         return newer or changed
 
+    def _upsert(self, server: Server) -> bool:
+        removed = (
+            server.revision <= self._listed_revision
+            and self.servers.get(server.id) is None
+        )
+        return not removed and self.servers.upsert(self._now(), server)
+
     def _apply_zone(self, change: ZoneChanged) -> bool:
         if change.revision <= self.zones_revision:
             return False
--- a/ibismount/server_table.py
+++ b/ibismount/server_table.py
@@ -168,9 +168,17 @@
                 self._tombstones.pop(server_id)
         return expired
 
+    def pending_removals(self) -> list[tuple[Server, float]]:
+        """Return the servers whose entry is missing, and when they are dropped."""
+        return [
+            (row.server, row.gone_at)
+            for row in self._rows.values()
+            if row.gone_at is not None
+        ]
+
     def missing_count(self) -> int:
         """Return the number of servers whose entry is missing."""
-        return sum(row.gone_at is not None for row in self._rows.values())
+        return len(self.pending_removals())
 
     def _remove_row(self, now: float, server_id: str, revision: int) -> None:
         row = self._rows.pop(server_id)
