--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -381,10 +381,17 @@
         for part in list(self._waiters):
             self._try_send(part)
         for part in self.tracker.due_hedges(now):
+            self._hedge(part, now)
+        self._apply_decision()
+
+    def _hedge(self, part: Part, now: float) -> None:
+        self._record_overdue(part, now)
+        # Without budget or a free server now, the part asks again later.
+        part.next_hedge_at = now + self.tracker.plan.hedge_delay_s
+        if not self.tracker.may_send(part):
             part.next_hedge_at = math.inf
-            self._record_overdue(part, now)
+        else:
             self._try_send(part, extra=True)
-        self._apply_decision()
 
     def _record_overdue(self, part: Part, now: float) -> None:
         for call in self._open_calls:
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -499,3 +499,44 @@
         assert arrivals['z0'] >= 0.9 * arrivals.total()
 
     run_on_virtual_time(main)
+
+
+def test_denied_hedge_is_sent_when_the_budget_has_room_again():
+    """A lookup at a hanging server waited out its five seconds.
+
+    Its only hedge was due while the budget was spent, and was not tried again.
+    """
+
+    async def main():
+        harness = DispatchHarness(slack=0)
+        (hanging, *_) = harness.servers_of('lookup')
+        hanging.choose_reply = lambda exchange: 'nothing'
+        req_id, _, fut = harness.submit(b'/lookup/x', deadline_ms=4000)
+        assert list(harness.runs_by_server(req_id)) == [], 'nothing has arrived'
+        await asyncio.sleep(0.5)
+        assert len(harness.runs_by_server(req_id)) == 1
+        # First requests of others fill the budget.
+        for _ in range(8):
+            await harness.submit_and_wait(b'/lookup/y')
+        outcome = await asyncio.wait_for(fut, 1)
+        assert outcome.kind is OutcomeKind.RELAYED
+        assert len(harness.runs_by_server(req_id)) == 2
+
+    run_on_virtual_time(main)
+
+
+def test_denied_hedges_do_not_exceed_the_budget():
+    """Asking again must not spend more than the ratio of first requests."""
+
+    async def main():
+        harness = DispatchHarness(slack=0)
+        for server in harness.servers_of('lookup'):
+            server.choose_reply = lambda exchange: 'nothing'
+        futs = [harness.submit(b'/lookup/x')[2] for _ in range(8)]
+        await asyncio.gather(*futs)
+        arrivals = sum(
+            server.arrivals for server in harness.servers_of('lookup')
+        )
+        assert arrivals <= 8 * 1.2
+
+    run_on_virtual_time(main)
