Bound what a caller can send beside the body of a request

Change: all bytes of a request but its body count, up to the limit of headers, 64 KiB and a quarter of the body.

--- a/ibismount/caller_connection.py
+++ b/ibismount/caller_connection.py
@@ -71,6 +71,12 @@
 # connection, and the caller could lose the answer.
 LINGER_S = 1.0
 MAX_LINGER_BYTES = 1024 * 1024
+# Bytes of one request beside its headers and body: request line, empty lines,
+# framing of chunks. The parser keeps an unfinished name or value itself, so raw
+# bytes are counted.
+MAX_OVERHEAD_BYTES = 64 * 1024
+# Chunks of a body may have this many bytes of framing for each byte of it.
+MAX_OVERHEAD_PER_BODY_BYTE = 0.25
 # Bytes of further requests that are buffered while a request is under way.
 MAX_PIPELINED_BYTES = 65536
 
@@ -208,9 +214,7 @@
             self.data_received(pipelined)
 
     def _parse(self, data: bytes) -> None:
-        if not self._head_complete:
-            # Bounds a head that never ends.
-            self._raw_head_bytes += len(data)
+        self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -224,17 +228,25 @@
             # connection closes after the last of them.
             last, _ = self._requests.pop()
             self._requests.append((last, False))
-        max_bytes = (
-            self._endpoint.limits.header_bytes
-            + self._endpoint.limits.body_bytes
-        )
-        if not self._head_complete and self._raw_head_bytes > max_bytes:
-            self._limit_error = ErrorCode.HEADERS_TOO_LARGE
+        if not self._requests and self._has_too_much_overhead():
+            self._limit_error = (
+                ErrorCode.BODY_TOO_LARGE
+                if self._head_complete
+                else ErrorCode.HEADERS_TOO_LARGE
+            )
         if self._limit_error is not None:
             self._send_error(self._limit_error)
         elif self._requests:
             self._start_next()
 
+    def _has_too_much_overhead(self) -> bool:
+        max_overhead = (
+            self._endpoint.limits.header_bytes
+            + MAX_OVERHEAD_BYTES
+            + MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        )
+        return self._raw_bytes - self._body_bytes > max_overhead
+
     def _start_next(self) -> None:
         raw, self._keep_alive = self._requests.popleft()
         self._request_begun = False
@@ -294,5 +306,5 @@
         self._body: list[bytes] = []
         self._header_bytes = 0
         self._body_bytes = 0
-        self._raw_head_bytes = 0
+        self._raw_bytes = 0
         self._head_complete = False
