End interim responses and responses to HEAD where they end

Cause: an interim response that states a length, or after which the connection ended, counted as the response; the real one was then taken for an extra one. A response to HEAD states the length of a body that never comes, so its caller waited until the deadline.

Change: statuses below 200 never end an exchange; a response to HEAD ends with its head, and its connection is not reused, since the parser does not know the method. Ruled out: skipping the body in the parser, which offers no way to do so.

--- a/ibismount/http_client.py
+++ b/ibismount/http_client.py
@@ -149,6 +149,7 @@
         # Bytes of this exchange, over all of its messages.
         self._raw_bytes = 0
         self._body_bytes = 0
+        self._expects_body = not request.startswith(b'HEAD ')
         self._reset_message()
         self._transport.write(request)
 
@@ -244,6 +245,12 @@
         self._status = self._parser.get_status_code()
         if self._status in _BODILESS_STATUSES:
             self._has_framing = True
+        elif not self._expects_body and self._status >= _FIRST_FINAL_STATUS:
+            # The parser does not know the method and takes what follows for
+            # a body.
+            self._close_after_exchange = True
+            self._finish_message()
+            self._has_framing = False
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body; called by the parser."""
@@ -255,7 +262,9 @@
     def on_message_complete(self) -> None:
         """Finish a response with framing; called by the parser."""
         self._in_message = False
-        if self._has_framing:
+        if self._status < _FIRST_FINAL_STATUS:
+            self._head_complete = False
+        elif self._has_framing:
             if not self._parser.should_keep_alive():
                 self._close_after_exchange = True
             self._finish_message()
@@ -316,6 +325,8 @@
 
 _process_memory = ResponseMemory()
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+# Lower statuses are of interim responses.
+_FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
--- a/tests/test_response_bounds.py
+++ b/tests/test_response_bounds.py
@@ -74,14 +74,14 @@
         self.outcomes.append(failure)
 
 
-def start_exchange(memory=None):
+def start_exchange(method=b'GET', *, memory=None):
     conn = Connection(memory)
     # A pool keeps the connection for the next exchange.
     conn.on_idle = lambda _: None
     transport = FakeTransport()
     conn.connection_made(transport)
     owner = Owner()
-    conn.send(owner, b'GET / HTTP/1.1\r\n\r\n')
+    conn.send(owner, method + b' / HTTP/1.1\r\n\r\n')
     return conn, owner, transport
 
 
@@ -153,7 +153,7 @@
 def test_responses_under_way_together_stay_within_one_bound():
     """Each of many bodies may be within its own bound and yet fill the VM."""
     memory = ResponseMemory(max_bytes=1_000_000)
-    flooding = [start_exchange(memory) for _ in range(4)]
+    flooding = [start_exchange(memory=memory) for _ in range(4)]
     for conn, _, _ in flooding:
         conn.data_received(HEAD + b'\r\n')
     for _ in range(40):
@@ -167,11 +167,11 @@
 def test_small_response_survives_a_flood_on_another_connection():
     """The connection that holds the most is closed, not the one that reads."""
     memory = ResponseMemory(max_bytes=1_000_000)
-    flooding, flooding_owner, _ = start_exchange(memory)
+    flooding, flooding_owner, _ = start_exchange(memory=memory)
     flooding.data_received(HEAD + b'\r\n')
     for _ in range(60):
         flooding.data_received(b'b' * READ_BYTES)
-    small, small_owner, transport = start_exchange(memory)
+    small, small_owner, transport = start_exchange(memory=memory)
     small.data_received(HEAD + b'content-length: 50000\r\n\r\n')
     small.data_received(b'b' * 30_000)
     small.data_received(b'b' * 20_000)
@@ -185,7 +185,7 @@
 def test_memory_is_released_at_each_end(how):
     """A leak would later fail every response."""
     memory = ResponseMemory(max_bytes=1_000_000)
-    conn, _, _ = start_exchange(memory)
+    conn, _, _ = start_exchange(memory=memory)
     conn.data_received(HEAD + b'content-length: 9\r\n\r\nhalf')
     assert memory.held_bytes > 0
     if how == 'complete':
