Notice a second lost answer to a watch

Cause: when watches were sent again, the store's revision counted as heard. If the answer was lost again, nothing was noticed until the revision rose or the watch ended after 18 s. A feed that was stopped kept the start of its lag and sent new watches twice.

Change: the revision counts as heard when an answer brings it; watches are sent again after 0.5 s and then after 4 s, and stopping forgets the lag. Ruled out: sending again at a fixed interval, since objects that are not watched raise the revision too.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -91,6 +91,10 @@
     # Watches that lag behind the store for this time are sent again. Must
     # exceed ``batch_window_s``, during which no watch runs.
     max_watch_lag_s: float = 0.5
+    # The next time they are sent again after this multiple of the lag: their
+    # answers can be lost too, but objects that are not watched also raise the
+    # store's revision.
+    lag_backoff_factor: float = 8.0
     initial_backoff_s: float = 0.3
     max_backoff_s: float = 2.0
     # Removals this soon after a failed call are delayed: entries that expired
@@ -137,6 +141,8 @@
         # Highest revision that a list or watch returned.
         self._watched_revision = 0
         self._lagging_since: float | None = None
+        # How often watches were sent again for the present lag.
+        self._resend_count = 0
         self._reachable = False
 
     @property
@@ -167,6 +173,7 @@
             self._probe_task.cancel()
         self._stop_watches()
         self._revisions.clear()
+        self._clear_lag()
         self._reachable = False
 
     def _start_watches(self) -> None:
@@ -236,24 +243,30 @@
         if revision <= self._watched_revision or len(self._revisions) < len(
             ResourceKind
         ):
-            self._lagging_since = None
+            self._clear_lag()
             return
         if self._lagging_since is None:
             self._lagging_since = self._now()
             return
-        if self._now() - self._lagging_since < self._options.max_watch_lag_s:
+        options = self._options
+        max_lag_s = options.max_watch_lag_s * (
+            options.lag_backoff_factor**self._resend_count
+        )
+        if self._now() - self._lagging_since < max_lag_s:
             return
         log.info(
             'watches sent again',
             extra={'heard': self._watched_revision, 'revision': revision},
         )
-        self._lagging_since = None
-        # Objects that are not watched raise the revision too; without this,
-        # the watches would be sent again for ever.
-        self._watched_revision = revision
+        self._lagging_since = self._now()
+        self._resend_count += 1
         self._stop_watches()
         self._start_watches()
 
+    def _clear_lag(self) -> None:
+        self._lagging_since = None
+        self._resend_count = 0
+
     def _delay_removal(self, change: FleetChange) -> FleetChange:
         recently_failed = (
             self._now() - self._last_failure_at
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -315,3 +315,52 @@
         assert len(watches) <= 6
 
     run_on_virtual_time(main)
+
+
+def test_second_lost_answer_is_noticed_too():
+    """Watches that were sent again counted as current at once.
+
+    When the second answer was lost too, the change was missed for 18 s.
+    """
+
+    async def main():
+        store = FakeStore()
+        store.put(1)
+        store.put(2)
+        loop = asyncio.get_running_loop()
+        store.answers_lost_until = loop.time() + 0.5
+        fleet, feed = start_feed(store)
+        await asyncio.sleep(5)
+        # Lasts until the watches have been sent again.
+        store.answers_lost_until = loop.time() + 2.2
+        store.remove(1)
+        await asyncio.sleep(2.3)
+        assert server_ids(fleet) == ['i-1', 'i-2']
+        await asyncio.sleep(4.5)
+        assert server_ids(fleet) == ['i-2']
+        feed.stop()
+
+    run_on_virtual_time(main)
+
+
+def test_lag_of_an_earlier_run_is_forgotten():
+    """A feed that was stopped while it lagged sent its new watches twice."""
+
+    async def main():
+        store = FakeStore()
+        _, feed = start_feed(store)
+        await asyncio.sleep(1)
+        store.revision += 1
+        await asyncio.sleep(OPTIONS.probe_interval_s)
+        feed.stop()
+        await asyncio.sleep(5)
+        store.calls.clear()
+        feed.start()
+        await asyncio.sleep(0.1)
+        store.revision += 1
+        await asyncio.sleep(OPTIONS.probe_interval_s)
+        feed.stop()
+        watches = [call for call in store.calls if call[0] == 'watch']
+        assert len(watches) == 3
+
+    run_on_virtual_time(main)
