Advertise nodes in the zones that hold servers first

Cause: the shards of the large site have replicas in three of its five zones, but callers were given the strong nodes of all five. Two fifths of the searches sent all 42 parts to another zone.

Change: nodes in zones that hold at least half of an equal share of the servers come first; others follow while the least share of the capacity is not reached, so lost nodes are replaced as before. Zones out of service keep their nodes.

Ruled out: naming each caller the nodes of its own zone, since a search has one answer but dozens of parts; counting only zones in service, since callers would move twice.

--- a/ibismount/advertised_nodes.py
+++ b/ibismount/advertised_nodes.py
@@ -1,12 +1,16 @@
 """Choose the nodes whose addresses are given to callers."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from ibismount.member import Member
 from ibismount.source_election import rank_nodes
 
-__all__ = ('AdvertisingOptions', 'select_advertised_nodes')
+__all__ = (
+    'AdvertisingOptions',
+    'find_server_zones',
+    'select_advertised_nodes',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,21 +30,49 @@
     # needs two connections to every server, and a server of today's largest
     # fleet accepts 109.
     max_nodes: int = 40
+    # A zone has servers when it holds this share of what it would hold if all
+    # zones held the same. The zones that hold no shards have a seventh.
+    min_relative_servers: float = 0.5
 
 
 _DEFAULTS = AdvertisingOptions()
 
 
+def find_server_zones(
+    server_counts: Mapping[str, int], options: AdvertisingOptions = _DEFAULTS
+) -> set[str]:
+    """Return the availability zones that hold their share of the servers.
+
+    Args:
+        server_counts: Number of usable servers by zone; zones without any may
+            be missing.
+        options: Bounds.
+
+    Example::
+
+        find_server_zones({'a': 43, 'b': 44, 'c': 3})  # {'a', 'b'}
+    """
+    total = sum(server_counts.values())
+    least = options.min_relative_servers * total / max(1, len(server_counts))
+    return {zone for zone, count in server_counts.items() if count >= least}
+
+
 def select_advertised_nodes(
-    members: Iterable[Member], options: AdvertisingOptions = _DEFAULTS
+    members: Iterable[Member],
+    server_zones: Collection[str] = (),
+    options: AdvertisingOptions = _DEFAULTS,
 ) -> list[Member]:
-    """Return the strong nodes among those that can serve, strongest first.
+    """Return the strong nodes among those that can serve, the best first.
 
-    Weaker ones are added until they have a share of the fleet's capacity.
+    A search has one answer for its caller and dozens of parts, so a node in a
+    zone with servers sends far less to other zones, wherever its callers are.
+    Other nodes, and weaker ones, are added until the advertised nodes have a
+    share of the fleet's capacity.
 
     Args:
         members: The live nodes; those without an address for callers are
             ignored.
+        server_zones: Availability zones that hold servers; empty if unknown.
         options: Bounds.
 
     Example::
@@ -54,6 +86,14 @@
     if not ranked:
         return []
     min_capacity = serving[ranked[0]].capacity * options.min_relative_capacity
+
+    def is_preferred(node_id: str) -> bool:
+        member = serving[node_id]
+        near = not server_zones or member.availability_zone in server_zones
+        return near and member.capacity >= min_capacity
+
+    # Stable: among the others, the strong ones still come first.
+    ranked.sort(key=is_preferred, reverse=True)
     min_total = options.min_capacity_share * sum(
         member.capacity for member in serving.values()
     )
@@ -63,7 +103,7 @@
         member = serving[node_id]
         enough = len(selected) >= options.min_nodes and total >= min_total
         dispensable = (
-            member.capacity < min_capacity or len(selected) >= options.max_nodes
+            not is_preferred(node_id) or len(selected) >= options.max_nodes
         )
         if enough and dispensable:
             break
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -7,7 +7,10 @@
 import sys
 import time
 
-from ibismount.advertised_nodes import select_advertised_nodes
+from ibismount.advertised_nodes import (
+    find_server_zones,
+    select_advertised_nodes,
+)
 from ibismount.caller_connection import (
     CallerConnection,
     CallerEndpoint,
@@ -226,7 +229,9 @@
         if not self.serving:
             # Peers may still report this node as serving.
             members = [member for member in members if member.id != own_id]
-        self._advertised = select_advertised_nodes(members)
+        self._advertised = select_advertised_nodes(
+            members, find_server_zones(self.fleet.count_servers_by_zone())
+        )
         self._node_share = self._share_calculator.compute(
             asyncio.get_running_loop().time(),
             advertised=len(self._advertised),
--- a/ibismount/fleet_state.py
+++ b/ibismount/fleet_state.py
@@ -1,5 +1,6 @@
 """One node's view of routes, backend servers and zones out of service."""
 
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -121,6 +122,16 @@
         self.change_count += len(expired)
         return expired
 
+    def count_servers_by_zone(self) -> dict[str, int]:
+        """Return the number of registered servers in each zone.
+
+        Zones out of service count too: they come back, and callers should not
+        have to move twice.
+        """
+        return collections.Counter(
+            server.zone for server in self.servers.all_servers()
+        )
+
     def cold_ids(self, servers: Iterable[Server]) -> set[str]:
         """Return the ids of those servers that are cold."""
         now = self._now()
--- a/tests/test_advertised_nodes.py
+++ b/tests/test_advertised_nodes.py
@@ -2,6 +2,7 @@
 
 from ibismount.advertised_nodes import (
     AdvertisingOptions,
+    find_server_zones,
     select_advertised_nodes,
 )
 from ibismount.member import Member
@@ -61,3 +62,59 @@
     fleet = [member(1, 4, address=''), member(2, 1)]
     assert [node.id for node in select_advertised_nodes(fleet)] == ['n002']
     assert select_advertised_nodes([]) == []
+
+
+def large_fleet(zones=5):
+    """Return three strong nodes in each zone, and 36 weak ones."""
+    fleet = []
+    for zone in range(zones):
+        for number in range(39):
+            fleet.append(
+                Member(
+                    f'z{zone}-{number:02}',
+                    1,
+                    f'z{zone}',
+                    'r',
+                    '',
+                    '10.0.0.1:80',
+                    capacity=2.15 if number < 3 else 0.516,
+                )
+            )
+    return fleet
+
+
+SERVERS_BY_ZONE = {'z0': 45, 'z1': 45, 'z2': 45, 'z3': 3, 'z4': 2}
+
+
+def test_nodes_in_zones_with_servers_are_advertised_first():
+    """All parts of two fifths of the searches crossed zones."""
+    advertised = select_advertised_nodes(
+        large_fleet(), find_server_zones(SERVERS_BY_ZONE)
+    )
+    near = [node for node in advertised if node.availability_zone < 'z3']
+    assert len(near) == 9
+    # They have less than the least share of the capacity.
+    assert len(advertised) == 10
+
+
+def test_zone_without_servers_helps_when_nodes_are_lost():
+    """Two strong nodes near the servers can't carry the load of fifteen."""
+    fleet = [
+        node
+        for node in large_fleet()
+        if node.availability_zone in {'z3', 'z4'} or node.id == 'z0-00'
+    ]
+    advertised = select_advertised_nodes(fleet, {'z0', 'z1', 'z2'})
+    assert advertised[0].id == 'z0-00'
+    assert len(advertised) >= 4
+    assert all(node.capacity == 2.15 for node in advertised[1:7])
+
+
+def test_lost_servers_do_not_empty_a_zone_at_once():
+    """The advertised nodes must not change with each crashed server."""
+    assert find_server_zones({'z0': 30, 'z1': 45, 'z2': 45}) == {
+        'z0',
+        'z1',
+        'z2',
+    }
+    assert find_server_zones({}) == set()
