Report an unknown outcome as unknown, and bound lines of many kinds

Change: without a known code only a 4xx status says that nothing was done; all else is outcome_unknown, change_unknown or, for reads, link_lost. Kinds above the bound share one count.

--- a/ibismount/_api_client.py
+++ b/ibismount/_api_client.py
@@ -117,7 +117,7 @@
         fields = _parse_json(response)
         if isinstance(fields, dict) and 'request_id' in fields:
             return fields
-        raise _make_api_error(response, fields)
+        raise _make_api_error(response, fields, ErrorCode.OUTCOME_UNKNOWN)
 
     def close(self) -> None:
         """Close all connections."""
@@ -133,7 +133,13 @@
         fields = _parse_json(response)
         if response.is_success and fields is not None:
             return fields
-        raise _make_api_error(response, fields)
+        raise _make_api_error(
+            response,
+            fields,
+            ErrorCode.LINK_LOST
+            if method == 'GET'
+            else ErrorCode.CHANGE_UNKNOWN,
+        )
 
     def _send(
         self, method: str, path: str, code_if_lost: ErrorCode, **options: Any
@@ -158,13 +164,22 @@
         return None
 
 
-def _make_api_error(response: httpx.Response, fields: Any) -> ApiError:
+def _make_api_error(
+    response: httpx.Response, fields: Any, code_if_lost: ErrorCode
+) -> ApiError:
+    """Return the error that an answer states.
+
+    Without a code that this version knows, only a status of the 4xx class says
+    that nothing was done.
+    """
     if not isinstance(fields, dict):
         fields = {}
     try:
         code = ErrorCode(fields.get('code'))
     except ValueError:
-        code = ErrorCode.BAD_REQUEST
+        code = (
+            ErrorCode.BAD_REQUEST if response.is_client_error else code_if_lost
+        )
     detail = (
         fields.get('detail')
         or f'the node answered with status {response.status_code}'
--- a/ibismount/edge_logs.py
+++ b/ibismount/edge_logs.py
@@ -16,9 +16,9 @@
 
 # Lines of one kind per second: enough to follow a fault.
 LINES_PER_S: Final = 20
-# Most kinds that are counted in one second. With that many, no count rises
-# any further until the next second.
+# Most kinds that are counted in one second; further ones share one count.
 MAX_KINDS: Final = 256
+_OTHER_KINDS: Final = ''
 STDOUT_FD: Final = 1
 
 
@@ -60,7 +60,9 @@
         kind = str(record.msg)
         if not self._is_within_limit(kind):
             return
-        left_out = self._left_out.pop(kind, 0)
+        left_out = self._left_out.pop(kind, 0) + self._left_out.pop(
+            _OTHER_KINDS, 0
+        )
         if left_out:
             record.left_out = left_out
         try:
@@ -78,12 +80,13 @@
         if second != self._second:
             self._second = second
             self._written.clear()
+        if kind not in self._written and len(self._written) >= MAX_KINDS:
+            kind = _OTHER_KINDS
         written = self._written.get(kind, 0)
         if written >= self._lines_per_s:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
             return False
-        if len(self._written) < MAX_KINDS:
-            self._written[kind] = written + 1
+        self._written[kind] = written + 1
         return True
 
     def _write(self, line: bytes) -> bool:
--- a/tests/test_edge_logs.py
+++ b/tests/test_edge_logs.py
@@ -7,7 +7,7 @@
 import pytest
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from ibismount.edge_logs import RateLimitedHandler
+from ibismount.edge_logs import MAX_KINDS, RateLimitedHandler
 
 
 @pytest.fixture
@@ -85,3 +85,20 @@
     os.dup2(spare, reader)
     handler.emit(make_record())
     assert handler.dropped == 1
+
+
+def test_lines_are_bounded_with_many_kinds(pipe):
+    """Above the bound of kinds in a second, lines were not limited at all."""
+    reader, writer = pipe
+    handler = make_handler(writer, lines_per_s=3, clock=lambda: 5.0)
+    for number in range(MAX_KINDS):
+        handler.emit(make_record(f'kind {number}'))
+    os.read(reader, 1_000_000)
+    for _ in range(10):
+        for number in range(5):
+            handler.emit(make_record(f'late kind {number}'))
+            handler.emit(make_record(f'kind {number}'))
+    lines = read_lines(reader)
+    # All kinds above the bound share one count.
+    assert sum(line['message'].startswith('late') for line in lines) == 3
+    assert sum(line['message'].startswith('kind') for line in lines) == 5 * 2
