Send changes between nodes across each zone's border once

Change: in each zone the node that ranks first takes changes from a source and passes them on; other links carry heartbeats and revisions only. A node that stays behind a peer's revisions for 0.5 s (0.1 s before it can serve) takes the changes from that peer. Tests play a relay and a source that do not forward, a late start, a subscriber of the build before and stray bytes.

--- a/ibismount/fleet_state.py
+++ b/ibismount/fleet_state.py
@@ -13,6 +13,7 @@
     'ServerChanged',
     'ServerRemoved',
     'ServersListed',
+    'ViewRevisions',
     'ZoneChanged',
     'ZonesListed',
 )
@@ -63,6 +64,23 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewRevisions:
+    """The routing version of a view, and its revisions of servers and zones."""
+
+    version: int = 0
+    servers: int = 0
+    zones: int = 0
+
+    def is_ahead_of(self, other: 'ViewRevisions') -> bool:
+        """Return whether any of them is higher than that of another view."""
+        return (
+            self.version > other.version
+            or self.servers > other.servers
+            or self.zones > other.zones
+        )
+
+
 FleetChange = (
     ServerChanged
     | ServerRemoved
@@ -95,6 +113,10 @@
         self.zones_revision = 0
         # Revision of the newest complete list, or of a later change.
         self.servers_revision = 0
+        # Revisions of the newest changes that altered the view. Others are not
+        # sent to peers, so no peer misses them.
+        self._changed_servers_revision = 0
+        self._changed_zones_revision = 0
         # Revision of the newest complete list. An older entry that this view
         # lacks has been removed since.
         self._listed_revision = 0
@@ -107,11 +129,31 @@
         """Return whether requests can be served."""
         return bool(self.route_table.version) and bool(self.servers_revision)
 
+    @property
+    def revisions(self) -> ViewRevisions:
+        """Return the revisions up to which this view is complete."""
+        return ViewRevisions(
+            self.route_table.version, self.servers_revision, self.zones_revision
+        )
+
+    @property
+    def changed_revisions(self) -> ViewRevisions:
+        """Return the revisions of the newest changes that altered the view."""
+        return ViewRevisions(
+            self.route_table.version,
+            self._changed_servers_revision,
+            self._changed_zones_revision,
+        )
+
     def apply(self, change: FleetChange) -> bool:
         """Apply a change; return whether it altered the view."""
         changed = _APPLY_BY_TYPE[type(change)](self, change)
         if changed:
             self.change_count += 1
+            if isinstance(change, ZoneChanged | ZonesListed):
+                self._changed_zones_revision = self.zones_revision
+            elif not isinstance(change, RouteTable):
+                self._changed_servers_revision = self.servers_revision
             if self._on_change is not None:
                 self._on_change(change)
         return changed
--- a/ibismount/peer_frames.py
+++ b/ibismount/peer_frames.py
@@ -15,6 +15,7 @@
     ServerChanged,
     ServerRemoved,
     ServersListed,
+    ViewRevisions,
     ZoneChanged,
     ZonesListed,
 )
@@ -31,6 +32,7 @@
 __all__ = (
     'MAX_FRAME_BYTES',
     'FeedHeartbeat',
+    'Frame',
     'FrameError',
     'FrameReader',
     'decode_probe',
@@ -66,6 +68,9 @@
     contact_age_s: float
 
 
+Frame = FleetChange | FeedHeartbeat | ViewRevisions
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RouteTableFrame:
     version: int
@@ -82,6 +87,7 @@
     ServersListed,
     ZoneChanged,
     ZonesListed,
+    ViewRevisions,
 )
 _PROBE_TYPES: tuple[type, ...] = (Ping, PingReq, Ack)
 # The fields of `Member` in order, then the status and the sequence.
@@ -131,8 +137,8 @@
     raise FrameError(f'unknown type of probe: {tag}')
 
 
-def encode_frame(frame: FleetChange | FeedHeartbeat) -> bytes:
-    """Encode a change or a heartbeat with its length prefix."""
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame with its length prefix."""
     if isinstance(frame, RouteTable):
         frame = _RouteTableFrame(
             frame.version, frame.routes, dict(frame.services), frame.limits
@@ -160,7 +166,7 @@
         """Start with an empty buffer."""
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[FleetChange | FeedHeartbeat]:
+    def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames that are now complete.
 
         Raises:
@@ -205,7 +211,7 @@
         raise FrameError(str(exc)) from exc
 
 
-def _to_change(frame: Any) -> FleetChange | FeedHeartbeat:
+def _to_change(frame: Any) -> Frame:
     if isinstance(frame, _RouteTableFrame):
         return RouteTable(
             frame.version, frame.routes, frame.services, frame.limits
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 from collections.abc import Callable
 
 from ibismount.change_feed import ChangeFeed
-from ibismount.fleet_state import FleetChange, FleetState
+from ibismount.fleet_state import FleetChange, FleetState, ViewRevisions
 from ibismount.http_client import configure_tcp_socket
 from ibismount.logs import part_logger
 from ibismount.member import Member
@@ -68,6 +69,16 @@
     max_contact_age_s: float = 2.0
     connect_timeout_s: float = 0.5
     reconnect_delay_s: float = 0.15
+    # A subscriber that has not said what it wants by then gets all changes.
+    subscription_wait_s: float = 0.25
+    # Time for which a view may be behind a peer before it asks that peer for
+    # its changes: the usual way through a relay takes milliseconds.
+    max_lag_s: float = 0.5
+    # The same for a node that can't serve yet.
+    max_startup_lag_s: float = 0.1
+    # A peer that was asked for this reason keeps sending for this time, so that
+    # a slow relay does not cause a snapshot for each change.
+    lag_subscription_s: float = 10.0
     # A link to a slow subscriber is closed above this backlog of unsent data.
     max_unread_bytes: int = 4 * 1024 * 1024
 
@@ -75,6 +86,15 @@
 _DEFAULT_OPTIONS = PeerOptions()
 
 
+class Subscription(enum.Enum):
+    """What a node wants on a link, as the byte that it sends."""
+
+    # A snapshot of the view, and then every change.
+    CHANGES = b'c'
+    # Only heartbeats, and the revisions of the view when they change.
+    HEARTBEATS = b'h'
+
+
 class _ProbeSocket(asyncio.DatagramProtocol):
     """UDP socket that sends and receives probes."""
 
@@ -109,30 +129,52 @@
 
 
 class _Subscriber(asyncio.Protocol):
-    """Link to a peer that receives this node's view."""
+    """Link to a peer that receives this node's view, or only heartbeats."""
 
     def __init__(self, peers: 'Peers') -> None:
         """Subscribe to the view of ``peers`` once connected."""
         self._peers = peers
+        self.subscription: Subscription | None = None
+        # Revisions that were last sent while it wants heartbeats.
+        self.sent_revisions: ViewRevisions | None = None
         self._transport: asyncio.Transport | None = None
         # IP address of the subscriber, which is also the id of its node.
         self._host = ''
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Send a snapshot of the view."""
+        """Wait for what the subscriber wants."""
         self._transport = transport
         self._host = transport.get_extra_info('peername')[0]
         configure_tcp_socket(transport.get_extra_info('socket'))
         self._peers.subscribers.add(self)
-        self._peers.send_snapshot(self)
+        self._timer = asyncio.get_running_loop().call_later(
+            self._peers.subscription_wait_s, self._set_default
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the subscriber."""
+        self._timer.cancel()
         self._peers.subscribers.discard(self)
 
     def data_received(self, data: bytes) -> None:
-        """Close the link, since a subscriber must not send data."""
-        self._transport.abort()
+        """Change the subscription; close the link on any other data."""
+        try:
+            subscription = Subscription(data[-1:])
+        except ValueError:
+            self._transport.abort()
+            return
+        self._set_subscription(subscription)
+
+    def _set_default(self) -> None:
+        if self.subscription is None:
+            self._set_subscription(Subscription.CHANGES)
+
+    def _set_subscription(self, subscription: Subscription) -> None:
+        if subscription is self.subscription:
+            return
+        self.subscription = subscription
+        self.sent_revisions = None
+        self._peers.start_subscription(self)
 
     def send(self, raw: bytes, max_unread_bytes: int) -> None:
         """Send encoded frames, or close the link if its backlog is too long."""
@@ -154,6 +196,12 @@
         self.closed = False
         self.heartbeat: FeedHeartbeat | None = None
         self.heartbeat_at: float = 0
+        self.revisions = ViewRevisions()
+        self._subscription: Subscription | None = None
+        # Since when this node's view has been behind that of the peer.
+        self.lagging_since: float | None = None
+        # Until when changes are wanted because of such a lag.
+        self.changes_wanted_until: float = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
@@ -179,9 +227,17 @@
             if isinstance(frame, FeedHeartbeat):
                 self.heartbeat = frame
                 self.heartbeat_at = asyncio.get_running_loop().time()
+            elif isinstance(frame, ViewRevisions):
+                self.revisions = frame
             else:
                 self._apply(frame)
 
+    def subscribe(self, subscription: Subscription) -> None:
+        """Tell the peer what this node wants, if that changed."""
+        if subscription is not self._subscription:
+            self._subscription = subscription
+            self._transport.write(subscription.value)
+
     def close(self) -> None:
         """Close the link."""
         self.closed = True
@@ -235,6 +291,8 @@
         self._connecting: dict[str, asyncio.Task] = {}
         self._socket = _ProbeSocket(self)
         self._next_heartbeat_at: float = 0
+        # Nodes to link to, the nearest first.
+        self._upstream_ids: list[str] = []
         self._peak_live_count = 1
         # The encoded view, and the ``fleet.change_count`` it was built at.
         self._snapshot = b''
@@ -278,24 +336,51 @@
         """Announce to other nodes that this node is shutting down."""
         self._send_probes(self._membership.leave(self._now()))
 
+    @property
+    def subscription_wait_s(self) -> float:
+        """Return how long a subscriber may take to say what it wants."""
+        return self._options.subscription_wait_s
+
     def broadcast_change(self, change: FleetChange) -> None:
-        """Send a change to all subscribers."""
-        if self.subscribers:
+        """Send a change to the subscribers that want changes."""
+        receivers = [
+            subscriber
+            for subscriber in self.subscribers
+            if subscriber.subscription is Subscription.CHANGES
+        ]
+        if receivers:
             raw = encode_frame(change)
-            for subscriber in list(self.subscribers):
+            for subscriber in receivers:
                 subscriber.send(raw, self._options.max_unread_bytes)
 
-    def send_snapshot(self, subscriber: _Subscriber) -> None:
-        """Send the whole view and a heartbeat to a new subscriber."""
+    def start_subscription(self, subscriber: _Subscriber) -> None:
+        """Send what a subscriber needs first."""
+        if subscriber.subscription is Subscription.CHANGES:
+            self._send_snapshot(subscriber)
+        self._send_heartbeat(
+            subscriber,
+            encode_frame(self._make_heartbeat()),
+            self._fleet.changed_revisions,
+        )
+
+    def _send_snapshot(self, subscriber: _Subscriber) -> None:
         if self._snapshot_change_count != self._fleet.change_count:
             # Encode once for all: every node connects to a new source at
             # about the same time.
             self._snapshot_change_count = self._fleet.change_count
             self._snapshot = b''.join(map(encode_frame, self._fleet.snapshot()))
         subscriber.send(self._snapshot, self._options.max_unread_bytes)
-        subscriber.send(
-            encode_frame(self._make_heartbeat()), self._options.max_unread_bytes
-        )
+
+    def _send_heartbeat(
+        self, subscriber: _Subscriber, raw: bytes, revisions: ViewRevisions
+    ) -> None:
+        if (
+            subscriber.subscription is Subscription.HEARTBEATS
+            and subscriber.sent_revisions != revisions
+        ):
+            subscriber.sent_revisions = revisions
+            raw = encode_frame(revisions) + raw
+        subscriber.send(raw, self._options.max_unread_bytes)
 
     def count_sent(self, host: str, size: int) -> None:
         """Count bytes that were sent to a subscriber."""
@@ -324,6 +409,7 @@
         self._peak_live_count = max(self._peak_live_count, len(live_capacities))
         self._membership.set_period(probe_period_s(len(live_capacities)))
         self._update_links(live_capacities)
+        self._update_subscriptions(now)
         current_links = sum(
             self._is_current(now, link) for link in self._links.values()
         )
@@ -360,7 +446,19 @@
         )
 
     def _update_links(self, live_capacities: dict[str, float]) -> None:
-        upstream_ids = self._election.select_upstreams(live_capacities)
+        source_ids = self._election.select_upstreams(live_capacities)
+        relay_id = self._election.select_relay(
+            {
+                node_id: member.capacity
+                for node_id, member in self._membership.live_members().items()
+                if member.availability_zone
+                == self._own_member.availability_zone
+            }
+        )
+        # Changes are wanted from the first of them that is linked.
+        upstream_ids = dict.fromkeys((relay_id, *source_ids))
+        upstream_ids.pop(None, None)
+        self._upstream_ids = list(upstream_ids)
         for node_id in list(self._links):
             link = self._links[node_id]
             if link.closed or node_id not in upstream_ids:
@@ -372,6 +470,35 @@
                 continue
             self._connecting[node_id] = loop.create_task(self._connect(node_id))
 
+    def _update_subscriptions(self, now: float) -> None:
+        """Take changes from the nearest upstream, and from others on a lag."""
+        own_revisions = self._fleet.revisions
+        max_lag_s = (
+            self._options.max_lag_s
+            if self._fleet.ready
+            else self._options.max_startup_lag_s
+        )
+        linked = [
+            self._links[node_id]
+            for node_id in self._upstream_ids
+            if node_id in self._links and not self._links[node_id].closed
+        ]
+        for link in linked:
+            if not link.revisions.is_ahead_of(own_revisions):
+                link.lagging_since = None
+            elif link.lagging_since is None:
+                link.lagging_since = now
+            elif now - link.lagging_since > max_lag_s:
+                link.changes_wanted_until = (
+                    now + self._options.lag_subscription_s
+                )
+            wants_changes = link is linked[0] or now < link.changes_wanted_until
+            link.subscribe(
+                Subscription.CHANGES
+                if wants_changes
+                else Subscription.HEARTBEATS
+            )
+
     async def _connect(self, node_id: str) -> None:
         member = self._membership.lookup(node_id)
         host, _, port = member.link_address.rpartition(':')
@@ -389,6 +516,7 @@
             await asyncio.sleep(self._options.reconnect_delay_s)
         else:
             self._links[node_id] = link
+            self._update_subscriptions(self._now())
         finally:
             self._connecting.pop(node_id, None)
 
@@ -398,8 +526,9 @@
 
     def _send_heartbeats(self) -> None:
         raw = encode_frame(self._make_heartbeat())
+        revisions = self._fleet.changed_revisions
         for subscriber in list(self.subscribers):
-            subscriber.send(raw, self._options.max_unread_bytes)
+            self._send_heartbeat(subscriber, raw, revisions)
 
     def _send_probes(self, envelopes: list[Envelope]) -> None:
         for to, message in envelopes:
--- a/ibismount/source_election.py
+++ b/ibismount/source_election.py
@@ -90,6 +90,21 @@
         others = [node_id for node_id in ranked if node_id != self._node_id]
         return others[: self._options.source_count]
 
+    def select_relay(self, capacities: Mapping[str, float]) -> str | None:
+        """Return the node of this zone that passes changes on to this one.
+
+        Only one node of each zone receives changes from another zone, since
+        traffic between zones is billed.
+
+        Args:
+            capacities: Capacities of the live nodes of this node's zone.
+
+        Returns:
+            The id of the node, or None if this node is the relay itself.
+        """
+        relay = rank_nodes(capacities)[:1]
+        return relay[0] if relay and relay[0] != self._node_id else None
+
     def should_watch_store(
         self, now: float, capacities: Mapping[str, float], *, current_links: int
     ) -> bool:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,247 @@
+"""Changes reach every node, but cross each availability zone's border once."""
+
+import asyncio
+import itertools
+import os
+import random
+
+import pytest
+
+from ibismount.fleet_state import FleetState, ServersListed
+from ibismount.member import Member
+from ibismount.peer_frames import FrameReader, encode_frame
+from ibismount.peers import Peers
+from ibismount.routes import Route, RouteTable, WeightedService
+from ibismount.server_table import Server
+from ibismount.zone_traffic import ZoneTraffic
+
+# Test processes run side by side, each on loopback addresses of its own.
+NETWORK = f'127.{180 + os.getpid() % 60}.{os.getpid() // 60 % 250}'
+HOSTS = itertools.count(1)
+# Capacity of each node; the strongest two are the sources.
+NODES = {
+    'a0': 4.0,
+    'a1': 1.0,
+    'a2': 1.0,
+    'b0': 3.5,
+    'b1': 1.0,
+    'b2': 1.0,
+    'c0': 2.0,
+    'c1': 1.0,
+    'c2': 1.0,
+}
+
+
+class FakeFeed:
+    """Follows a store that has nothing new."""
+
+    def __init__(self):
+        self.running = False
+        self.last_contact_at = 0
+
+    @property
+    def current(self):
+        self.last_contact_at = asyncio.get_running_loop().time()
+        return self.running
+
+    def start(self):
+        self.running = True
+
+    def stop(self):
+        self.running = False
+
+
+def make_member(name, host):
+    return Member(
+        host,
+        1,
+        f'zone-{name[0]}',
+        'r',
+        f'{host}:7740',
+        f'{host}:80',
+        capacity=NODES[name],
+    )
+
+
+class Fleet:
+    """Nodes in three zones, each on a loopback address of its own."""
+
+    def __init__(self):
+        self.members = {
+            name: make_member(name, f'{NETWORK}.{next(HOSTS)}')
+            for name in NODES
+        }
+        self.views = {}
+        self.peers = {}
+        self.traffic = {}
+
+    async def start(self, *names):
+        """Start nodes, and wait until they know each other."""
+        for name in names or NODES:
+            await self._start_node(name)
+        await asyncio.sleep(3)
+
+    async def _start_node(self, name):
+        loop = asyncio.get_running_loop()
+        member = self.members[name]
+        traffic = ZoneTraffic(member.availability_zone)
+        view = FleetState(
+            loop.time,
+            lambda change: self.peers[name].broadcast_change(change),
+        )
+        seeds = [seed for seed in self.members.values() if seed.id != member.id]
+        peers = Peers(
+            member,
+            seeds,
+            fleet=view,
+            feed=FakeFeed(),
+            rng=random.Random(name),
+            traffic=traffic,
+        )
+        self.views[name] = view
+        self.peers[name] = peers
+        self.traffic[name] = traffic
+        await peers.start()
+
+    def bytes_between_zones(self):
+        return sum(
+            traffic.bytes_by_cause().get(('view', 'other'), 0)
+            for traffic in self.traffic.values()
+        )
+
+    async def stop(self):
+        for peers in self.peers.values():
+            peers._tick_task.cancel()
+            peers._server.close()
+            peers._socket._transport.close()
+            for link in peers._links.values():
+                link.close()
+        await asyncio.sleep(0.05)
+
+
+def make_route_table(version):
+    """Return a version that hardly shrinks when compressed."""
+    rng = random.Random(version)
+    routes = tuple(
+        Route(
+            f'r{rng.getrandbits(64):x}',
+            f'{rng.getrandbits(64):x}.example',
+            f'/{rng.getrandbits(64):x}/',
+            True,
+            1,
+            0.1,
+            max_runs=2,
+            services=(WeightedService('desk'),),
+        )
+        for _ in range(300)
+    )
+    return RouteTable(version, routes)
+
+
+def run_test(main):
+    async def run():
+        fleet = Fleet()
+        try:
+            await main(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def versions(fleet):
+    return {
+        name: view.route_table.version for name, view in fleet.views.items()
+    }
+
+
+def test_change_crosses_zones_once_for_each_zone():
+    """Two sources sent each change to all nodes: 312 copies for 195 nodes."""
+
+    async def main(fleet):
+        await fleet.start()
+        before = fleet.bytes_between_zones()
+        change = make_route_table(7)
+        fleet.views['a0'].apply(change)
+        await asyncio.sleep(1)
+        assert set(versions(fleet).values()) == {7}
+        crossed = fleet.bytes_between_zones() - before
+        # One copy for each other zone, and one between the two sources.
+        assert crossed < 3.5 * len(encode_frame(change))
+
+    run_test(main)
+
+
+@pytest.mark.parametrize('silent', ['c0', 'a0'])
+def test_change_passes_a_node_that_does_not_forward_it(silent):
+    """A frozen or cut-off relay, or source, must not hold a change back."""
+
+    async def main(fleet):
+        await fleet.start()
+        fleet.peers[silent].broadcast_change = lambda change: None
+        origin = 'a0' if silent == 'c0' else 'b0'
+        fleet.views[origin].apply(make_route_table(7))
+        await asyncio.sleep(2)
+        others = {
+            name: version
+            for name, version in versions(fleet).items()
+            if name != silent
+        }
+        assert set(others.values()) == {7}
+
+    run_test(main)
+
+
+def test_node_that_starts_late_gets_the_whole_view():
+    """A restarted node served nothing until the next change."""
+
+    async def main(fleet):
+        await fleet.start(*(name for name in NODES if name != 'c2'))
+        server = Server('i-1', 'desk', 'h', 1, 'zone-a', 4, revision=3)
+        fleet.views['a0'].apply(ServersListed((server,), 5))
+        fleet.views['a0'].apply(make_route_table(7))
+        await asyncio.sleep(1)
+        await fleet._start_node('c2')
+        await asyncio.sleep(1.5)
+        assert fleet.views['c2'].ready
+
+    run_test(main)
+
+
+def test_subscriber_that_says_nothing_gets_all_changes():
+    """Nodes of the build before this one do not say what they want."""
+
+    async def main(fleet):
+        await fleet.start('a0', 'a1')
+        fleet.views['a0'].apply(make_route_table(7))
+        host = fleet.members['a0'].id
+        reader, writer = await asyncio.open_connection(host, 7740)
+        await asyncio.sleep(0.5)
+        fleet.views['a0'].apply(make_route_table(8))
+        await asyncio.sleep(0.2)
+        frames = FrameReader().feed(await reader.read(1_000_000))
+        received = [
+            frame.version for frame in frames if isinstance(frame, RouteTable)
+        ]
+        assert received == [7, 8]
+        writer.close()
+
+    run_test(main)
+
+
+@pytest.mark.parametrize('noise', [b'x', b'GET / HTTP/1.1\r\n\r\n'])
+def test_other_bytes_from_a_subscriber_close_the_link(noise):
+    """A stray client must not stay subscribed."""
+
+    async def main(fleet):
+        await fleet.start('a0')
+        host = fleet.members['a0'].id
+        reader, writer = await asyncio.open_connection(host, 7740)
+        writer.write(noise)
+        with pytest.raises(ConnectionError):
+            while await reader.read(1000):
+                continue
+            raise ConnectionResetError
+        assert not fleet.peers['a0'].subscribers
+
+    run_test(main)
