Let sources that the store turns away learn from other nodes

Change: while no source is up to date, the sources and the relays of the zones link to further nodes, in the order in which these take over, at most six. Ruled out: further links for every node, since one relay in a zone is enough and all nodes would link to the same six; counting such a link as current for the source itself, since it would close it again at once. Both new tests fail without the change.

--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -291,6 +291,7 @@
         self._connecting: dict[str, asyncio.Task] = {}
         self._socket = _ProbeSocket(self)
         self._next_heartbeat_at: float = 0
+        self._last_informed_at = self._started_at
         # Nodes to link to, the nearest first.
         self._upstream_ids: list[str] = []
         self._peak_live_count = 1
@@ -408,7 +409,7 @@
         }
         self._peak_live_count = max(self._peak_live_count, len(live_capacities))
         self._membership.set_period(probe_period_s(len(live_capacities)))
-        self._update_links(live_capacities)
+        self._update_links(now, live_capacities)
         self._update_subscriptions(now)
         current_links = sum(
             self._is_current(now, link) for link in self._links.values()
@@ -445,7 +446,9 @@
             and link.heartbeat.contact_age_s <= options.max_contact_age_s
         )
 
-    def _update_links(self, live_capacities: dict[str, float]) -> None:
+    def _update_links(
+        self, now: float, live_capacities: dict[str, float]
+    ) -> None:
         source_ids = self._election.select_upstreams(live_capacities)
         relay_id = self._election.select_relay(
             {
@@ -456,7 +459,15 @@
             }
         )
         # Changes are wanted from the first of them that is linked.
-        upstream_ids = dict.fromkeys((relay_id, *source_ids))
+        further_ids: list[str] = []
+        if self._is_informed(now, source_ids):
+            self._last_informed_at = now
+        elif relay_id is None:
+            # Other nodes of the zone learn from this one.
+            further_ids = self._election.select_further_upstreams(
+                live_capacities, stale_s=now - self._last_informed_at
+            )
+        upstream_ids = dict.fromkeys((relay_id, *source_ids, *further_ids))
         upstream_ids.pop(None, None)
         self._upstream_ids = list(upstream_ids)
         for node_id in list(self._links):
@@ -470,6 +481,14 @@
                 continue
             self._connecting[node_id] = loop.create_task(self._connect(node_id))
 
+    def _is_informed(self, now: float, source_ids: list[str]) -> bool:
+        """Return whether this node or a source is up to date with the store."""
+        return self._feed.current or any(
+            self._is_current(now, self._links[node_id])
+            for node_id in source_ids
+            if node_id in self._links
+        )
+
     def _update_subscriptions(self, now: float) -> None:
         """Take changes from the nearest upstream, and from others on a lag."""
         own_revisions = self._fleet.revisions
--- a/ibismount/source_election.py
+++ b/ibismount/source_election.py
@@ -30,6 +30,9 @@
     # every node would only cost money.
     rank_stagger_s: float = 0.25
     max_stagger_s: float = 30.0
+    # Most nodes beyond the sources to link to while no source is up to date:
+    # the store may turn the sources away and serve others.
+    max_further_upstreams: int = 6
     # A node stops watching the store after this time with current links.
     release_after_s: float = 4.0
 
@@ -86,9 +89,34 @@
         Args:
             capacities: Capacities of the live nodes, by id.
         """
-        ranked = rank_nodes(capacities)
-        others = [node_id for node_id in ranked if node_id != self._node_id]
-        return others[: self._options.source_count]
+        return self._rank_others(capacities)[: self._options.source_count]
+
+    def select_further_upstreams(
+        self, capacities: Mapping[str, float], *, stale_s: float
+    ) -> list[str]:
+        """Return the ids of nodes that may know more than the sources.
+
+        They take over in the order of their ranks, so one more of them is
+        tried each time that one more may have done so.
+
+        Args:
+            capacities: Capacities of the live nodes, by id.
+            stale_s: Time for which no source has been up to date.
+        """
+        options = self._options
+        if stale_s < options.takeover_after_s:
+            return []
+        tried = (stale_s - options.takeover_after_s) / options.rank_stagger_s
+        count = min(options.max_further_upstreams, 1 + int(tried))
+        first = options.source_count
+        return self._rank_others(capacities)[first : first + count]
+
+    def _rank_others(self, capacities: Mapping[str, float]) -> list[str]:
+        return [
+            node_id
+            for node_id in rank_nodes(capacities)
+            if node_id != self._node_id
+        ]
 
     def select_relay(self, capacities: Mapping[str, float]) -> str | None:
         """Return the node of this zone that passes changes on to this one.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -37,12 +37,14 @@
 
     def __init__(self):
         self.running = False
+        self.reachable = True
         self.last_contact_at = 0
 
     @property
     def current(self):
-        self.last_contact_at = asyncio.get_running_loop().time()
-        return self.running
+        if self.reachable:
+            self.last_contact_at = asyncio.get_running_loop().time()
+        return self.running and self.reachable
 
     def start(self):
         self.running = True
@@ -245,3 +247,48 @@
         assert not fleet.peers['a0'].subscribers
 
     run_test(main)
+
+
+def test_sources_cut_from_the_store_learn_from_other_nodes():
+    """The store turned away both sources and served the other nodes.
+
+    These followed the store themselves, and the sources and all nodes that
+    were turned away kept an old version for ten seconds.
+    """
+
+    async def main(fleet):
+        cut = {'a0', 'b0', 'c0', 'a1'}
+        await fleet.start()
+        for name in cut:
+            fleet.peers[name]._feed.reachable = False
+        await asyncio.sleep(3)
+        reached = [
+            name
+            for name, peers in fleet.peers.items()
+            if name not in cut and peers._feed.running
+        ]
+        assert reached, 'some node has taken over'
+        fleet.views[reached[0]].apply(make_route_table(7))
+        await asyncio.sleep(2.5)
+        assert set(versions(fleet).values()) == {7}
+
+    run_test(main)
+
+
+def test_links_to_further_nodes_end_when_the_sources_are_back():
+    """Links that are kept would grow with each outage."""
+
+    async def main(fleet):
+        await fleet.start()
+        for peers in fleet.peers.values():
+            peers._feed.reachable = False
+        await asyncio.sleep(2.5)
+        assert len(fleet.peers['a0']._links) > 3
+        # Zones without a relay's work need no further links.
+        assert len(fleet.peers['c1']._links) <= 3
+        for peers in fleet.peers.values():
+            peers._feed.reachable = True
+        await asyncio.sleep(1.5)
+        assert all(len(peers._links) <= 3 for peers in fleet.peers.values())
+
+    run_test(main)
