--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -559,3 +559,30 @@
         assert usage.first == 100
 
     run_on_virtual_time(main)
+
+
+@pytest.mark.parametrize('delay_s', [0, 0.3])
+def test_running_request_survives_the_loss_of_its_servers_entry(delay_s):
+    """A server that is silent in the store for a while still runs its work.
+
+    The request must neither be given up nor run again elsewhere.
+    """
+
+    async def main():
+        harness = DispatchHarness()
+        for server in harness.servers_of('lookup'):
+            server.work_s = 0.5
+        req_id, _, fut = harness.submit(b'/booking/x', method=b'POST')
+        await asyncio.sleep(0.1)
+        (server_id,) = harness.runs_by_server(req_id)
+        harness.fleet.apply(ServerRemoved(server_id, 2000, delay_s))
+        await asyncio.sleep(0.35)
+        harness.fleet.expire()
+        harness.dispatch.prune_removed()
+        assert harness.fleet.servers.get(server_id) is None
+        outcome = await fut
+        assert outcome.kind is OutcomeKind.RELAYED
+        assert harness.runs_by_server(req_id) == {server_id: 1}
+        assert not harness.dispatch._in_flight
+
+    run_on_virtual_time(main)
