--- a/ibismount/cli.py
+++ b/ibismount/cli.py
@@ -8,6 +8,7 @@
 
 import httpx
 from cleo.application import Application
+from cleo.io.inputs.argv_input import ArgvInput
 
 from ibismount import _cli_entries as entries
 from ibismount import _cli_logs as logs
@@ -59,7 +60,11 @@
 def main() -> None:
     """Run ``ibismountctl``; traces of its requests start in this process."""
     configure_telemetry('none', node_id='ibismountctl')
-    sys.exit(make_application().run())
+    argv = sys.argv
+    if argv[1:] in (['--help'], ['-h']):
+        # cleo would show the help of its default command, which lists them.
+        argv = [argv[0], 'list']
+    sys.exit(make_application().run(ArgvInput(argv)))
 
 
 if __name__ == '__main__':
--- a/ibismount/permit_return.py
+++ b/ibismount/permit_return.py
@@ -81,7 +81,7 @@
         if probe is None:
             last_answered_at = self._last_answered_at.get(server.id)
             if (
-                last_answered_at
+                last_answered_at is not None
                 and self._view.now() - last_answered_at < _MIN_PROBE_INTERVAL_S
             ):
                 return True
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,11 +1,13 @@
 """Tests of ``ibismountctl``: conflicts, confirmation, exit status, output."""
 
 import json
+import sys
 
 import httpx
 import pytest
 from cleo.testers.application_tester import ApplicationTester
 
+from ibismount import cli
 from ibismount.cli import make_application
 
 
@@ -204,3 +206,15 @@
     status, text = run_command(node, f'completions {shell}')
     assert status == 0
     assert 'timeline' in text
+
+
+@pytest.mark.parametrize('option', ['--help', '-h'])
+def test_help_lists_the_commands(option, monkeypatch, capfd):
+    """It showed the help of the command `list`, without any other command."""
+    monkeypatch.setattr(sys, 'argv', ['ibismountctl', option])
+    with pytest.raises(SystemExit) as caught:
+        cli.main()
+    assert not caught.value.code
+    shown = capfd.readouterr().out
+    assert 'timeline' in shown
+    assert 'book' in shown
