--- a/ibismount/search_run.py
+++ b/ibismount/search_run.py
@@ -437,8 +437,8 @@
     def _hedge_targets(
         self, planner: Planner, shard: ShardState
     ) -> list[Target]:
-        already_hedged = bool(shard.hedges)
-        if len(shard.active) != 1 + already_hedged or self._canary.active:
+        # An attempt that has ended is followed up by its own retry.
+        if len(shard.active) != 1 + shard.hedges or self._canary.active:
             return []
         late_attempt = shard.active[-1]
         urgent_at = (
@@ -447,7 +447,7 @@
         )
         hedge_at = (
             urgent_at
-            if already_hedged
+            if shard.hedges
             else late_attempt.sent_at + self._hedge_delay_s
         )
         if self._now() < hedge_at:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -562,6 +562,43 @@
     assert straggler_latency(hedge=False) > 0.1
 
 
+def test_third_hedge_is_sent_while_three_attempts_run():
+    """A search waited for three dead servers while a fourth one was well.
+
+    The number of attempts under way was compared with a flag instead of the
+    number of hedges.
+    """
+    cluster = Cluster(
+        shards=6,
+        zones=('a', 'b', 'c', 'd'),
+        slots=50,
+        template=SLOW_TEMPLATE,
+        entry_options=EntryOptions(
+            search=SearchOptions(), extra_load_fraction=1
+        ),
+    )
+    asked = {}
+
+    async def scenario(cluster):
+        await run_searches(cluster, 20, every_s=0.01)
+        work = cluster.fleet._work
+        started_at = anyio.current_time()
+
+        async def fail_to_answer(server, behaviour):
+            if server.shard == 'sh0':
+                asked[server.id] = anyio.current_time() - started_at
+                await anyio.sleep(10)
+            await work(server, behaviour)
+
+        cluster.fleet._work = fail_to_answer
+        await cluster.entry.search(make_search_request())
+
+    in_cluster(cluster, scenario)
+    _, first_hedge, second_hedge, third_hedge = sorted(asked.values())
+    # The second and the third wait for the same time.
+    assert third_hedge - second_hedge < 1.5 * (second_hedge - first_hedge)
+
+
 def silent_latencies():
     """Search while the pooled connections of a zone are silent."""
     cluster = Cluster(
