Let hedges leave a slot for first sends

Change: a hedge is sent only where it leaves a slot for a first send; parts without an attempt under way are not held back. Ruled out: holding hedges back only while parts are queued, since the new request then finds the server full before there is a queue.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -206,6 +206,15 @@
             self.now(), server.id, rate=rate
         )
 
+    def has_slot_for_hedge(self, server: Server) -> bool:
+        """Return whether a hedge leaves a slot for a first send.
+
+        Hedges of requests at servers that hang would otherwise fill the one
+        that is well, and new requests would queue there.
+        """
+        max_in_flight = max(1, server.slots - 1)
+        return self.placement.health(server).in_flight < max_in_flight
+
     def release(self, server: Server) -> None:
         """Return the permit of a request that was not sent after all."""
         if self.fleet.cold_rate_limit(server):
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -266,6 +266,8 @@
             return False
         if not self._would_overtake(part):
             for server in ranked:
+                if part.open and not dispatch.has_slot_for_hedge(server):
+                    continue
                 if self._try_send_to(part, server):
                     self._leave_queue(part)
                     # Later attempts of a request that was not sent are
@@ -388,11 +390,13 @@
 
     def _hedge(self, part: Part, now: float) -> None:
         self._record_overdue(part, now)
-        # Without budget or a free server now, the part asks again later.
-        part.next_hedge_at = now + self.tracker.plan.hedge_delay_s
         if not self.tracker.may_send(part):
             part.next_hedge_at = math.inf
-        else:
+            return
+        # Without budget or a free server now, the part asks again later.
+        part.next_hedge_at = now + self.tracker.plan.hedge_delay_s
+        # A free server goes to a first send that waits for it.
+        if self._dispatch.wait_queues.peek(part.service) is None:
             self._try_send(part, extra=True)
 
     def _record_overdue(self, part: Part, now: float) -> None:
--- a/tests/test_wait_queues.py
+++ b/tests/test_wait_queues.py
@@ -173,3 +173,33 @@
         await asyncio.gather(*futs)
 
     run_on_virtual_time(main)
+
+
+def test_hedges_leave_a_slot_for_first_sends():
+    """Guards against hedges that fill the server a new request needs.
+
+    All servers but one hang; their overdue requests are hedged at the one that
+    is left, again and again while the budget denies them.
+    """
+
+    async def main():
+        harness = lookup_harness()
+        healthy, *hanging = harness.servers_of('lookup')
+        for server in hanging:
+            server.choose_reply = lambda exchange: 'nothing'
+        futs = [
+            harness.submit(b'/lookup/x', deadline_ms=4000)[2] for _ in range(18)
+        ]
+        # The first sends at the healthy server have been answered by then.
+        await asyncio.sleep(2 * WORK_S + 0.05)
+        for _ in range(10):
+            assert healthy.running < healthy.server.slots
+            await asyncio.sleep(0.05)
+        outcome, elapsed_s = await harness.submit_and_wait(
+            b'/lookup/x', deadline_ms=4000
+        )
+        assert outcome.kind is OutcomeKind.RELAYED
+        assert elapsed_s < WORK_S + 0.01
+        await asyncio.gather(*futs)
+
+    run_on_virtual_time(main)
