--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -458,7 +458,6 @@
                 == self._own_member.availability_zone
             }
         )
-        # Changes are wanted from the first of them that is linked.
         further_ids: list[str] = []
         if self._is_informed(now, source_ids):
             self._last_informed_at = now
@@ -467,6 +466,7 @@
             further_ids = self._election.select_further_upstreams(
                 live_capacities, stale_s=now - self._last_informed_at
             )
+        # Changes are wanted from the first of them that is linked.
         upstream_ids = dict.fromkeys((relay_id, *source_ids, *further_ids))
         upstream_ids.pop(None, None)
         self._upstream_ids = list(upstream_ids)
