Serve after a start only with a view that is known to be recent

Cause: a new process served with the first view that any peer sent. A peer that is cut off from the store may still hold a server that has left, a route that was withdrawn or a zone that was put out of service, and a source that had not listed the zones yet passed on a view without them.

Change: a node serves once its own watches are complete, or once an upstream that is up to date with the store has no revision that the node lacks. Without such a peer it serves after two seconds: the store may be down for long. A source says at once that it is up to date, so nodes that wait for it lose no heartbeat interval. While a node can't serve, it gives a peer 0.12 s instead of 0.5 s to answer a connection: after a loss of power the seeds may have no power yet. The listener for subscribers takes 2,048 pending connections instead of 100, since all nodes link to the same two sources.

Ruled out: waiting for a confirmation without a bound, since a restart during an outage of the store would never serve. New tests in test_peers, test_fleet_state and test_change_feed fail without the change.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -116,6 +116,7 @@
         now: Clock in seconds.
         rng: Adds jitter to the backoff.
         options: Times.
+        on_current: Called each time that ``current`` becomes true.
     """
 
     def __init__(
@@ -126,6 +127,7 @@
         now: Callable[[], float],
         rng: random.Random,
         options: ChangeFeedOptions = _DEFAULT_OPTIONS,
+        on_current: Callable[[], None] | None = None,
     ) -> None:
         """Start without contact to the store."""
         self._reader = reader
@@ -133,6 +135,8 @@
         self._now = now
         self._rng = rng
         self._options = options
+        self._on_current = on_current
+        self._was_current = False
         self._watch_tasks: list[asyncio.Task] = []
         self._last_failure_at = -options.removal_delay_window_s
         self._last_contact_at = -options.removal_delay_window_s
@@ -175,6 +179,7 @@
         self._revisions.clear()
         self._clear_lag()
         self._reachable = False
+        self._was_current = False
 
     def _start_watches(self) -> None:
         loop = asyncio.get_running_loop()
@@ -207,6 +212,7 @@
                 self._apply(self._delay_removal(change))
             self._revisions[kind] = batch.revision
             self._watched_revision = max(self._watched_revision, batch.revision)
+            self._report_current()
             if batch.changes:
                 await asyncio.sleep(self._options.batch_window_s)
 
@@ -233,6 +239,7 @@
             else:
                 failures = 0
                 self._record_contact()
+                self._report_current()
                 self._restart_lagging_watches(revision)
 
     def _restart_lagging_watches(self, revision: int) -> None:
@@ -290,10 +297,20 @@
             self._reachable = True
             log.info('store reached')
 
+    def _report_current(self) -> None:
+        was_current, self._was_current = self._was_current, self.current
+        if (
+            self._was_current
+            and not was_current
+            and self._on_current is not None
+        ):
+            self._on_current()
+
     def _record_failure(
         self, exc: IbismountError, kind: ResourceKind | None
     ) -> None:
         self._last_failure_at = self._now()
+        self._was_current = False
         if self._reachable:
             self._reachable = False
             log.warning(
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -153,7 +153,12 @@
         self.leaving = False
         self.wire = PlatformWireFormat()
         loop = asyncio.get_running_loop()
-        self.fleet = FleetState(loop.time, self._on_change)
+        self.fleet = FleetState(
+            loop.time,
+            self._on_change,
+            confirmed=False,
+            on_confirmed=self._announce,
+        )
         host, _, port = cfg.store.address.rpartition(':')
         self.store = StoreClient(host, int(port))
         self.feed = ChangeFeed(
@@ -161,6 +166,7 @@
             self.fleet.apply,
             now=loop.time,
             rng=rng,
+            on_current=lambda: self.peers.announce_current(),
         )
         traffic = ZoneTraffic(cfg.node.zone)
         own = _own_member(cfg)
--- a/ibismount/fleet_state.py
+++ b/ibismount/fleet_state.py
@@ -97,16 +97,23 @@
     Args:
         now: Clock in seconds.
         on_change: Called with each change that altered the view.
+        confirmed: Whether the view may be used before ``confirm`` is called.
+        on_confirmed: Called once, by ``confirm``.
     """
 
     def __init__(
         self,
         now: Callable[[], float],
         on_change: Callable[[FleetChange], None] | None = None,
+        *,
+        confirmed: bool = True,
+        on_confirmed: Callable[[], None] | None = None,
     ) -> None:
         """Start with an empty view."""
         self._now = now
         self._on_change = on_change
+        self._on_confirmed = on_confirmed
+        self.confirmed = confirmed
         self.route_table: RouteTable = empty_route_table()
         self.servers = ServerTable()
         self.zones_out: frozenset[str] = frozenset()
@@ -127,6 +134,11 @@
     @property
     def ready(self) -> bool:
         """Return whether requests can be served."""
+        return self.confirmed and self.has_view
+
+    @property
+    def has_view(self) -> bool:
+        """Return whether routes and servers are known."""
         return bool(self.route_table.version) and bool(self.servers_revision)
 
     @property
@@ -158,6 +170,19 @@
                 self._on_change(change)
         return changed
 
+    def confirm(self) -> None:
+        """Let the node serve: its view is as recent as it can get.
+
+        A new process may get its first view from a peer that is cut off from
+        the store. That view can hold servers that left and routes that were
+        withdrawn before the process started.
+        """
+        if self.confirmed:
+            return
+        self.confirmed = True
+        if self._on_confirmed is not None:
+            self._on_confirmed()
+
     def expire(self) -> list[Server]:
         """Drop the servers whose removal delay is over; return them."""
         expired = self.servers.expire(self._now())
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -40,6 +40,10 @@
 )
 
 
+# Connections not yet accepted: after a loss of power all nodes link to the same
+# two sources at once, and a link that does not fit is tried again much later.
+SUBSCRIBER_BACKLOG = 2048
+
 # Above this number of nodes the probe period grows with the fleet, up to the
 # maximum: more nodes then probe each node, and the traffic of all probes costs
 # money.
@@ -69,6 +73,13 @@
     max_contact_age_s: float = 2.0
     connect_timeout_s: float = 0.5
     reconnect_delay_s: float = 0.15
+    # The same for a node that can't serve yet. After a loss of power, nodes
+    # start before their seeds have power, and these packets are lost.
+    startup_connect_timeout_s: float = 0.12
+    startup_reconnect_delay_s: float = 0.03
+    # A new process serves with a view that neither the store nor a peer has
+    # confirmed for this time: the store may be down for long.
+    max_unconfirmed_s: float = 2.0
     # A subscriber that has not said what it wants by then gets all changes.
     subscription_wait_s: float = 0.25
     # Time for which a view may be behind a peer before it asks that peer for
@@ -188,9 +199,14 @@
 class _UpstreamLink(asyncio.Protocol):
     """Link to a peer whose view this node receives."""
 
-    def __init__(self, apply: Callable[[FleetChange], object]) -> None:
-        """Pass received changes to ``apply``."""
+    def __init__(
+        self,
+        apply: Callable[[FleetChange], object],
+        on_received: Callable[[], None],
+    ) -> None:
+        """Pass received changes to ``apply``, then call ``on_received``."""
         self._apply = apply
+        self._on_received = on_received
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self.closed = False
@@ -231,6 +247,7 @@
                 self.revisions = frame
             else:
                 self._apply(frame)
+        self._on_received()
 
     def subscribe(self, subscription: Subscription) -> None:
         """Tell the peer what this node wants, if that changed."""
@@ -292,6 +309,8 @@
         self._socket = _ProbeSocket(self)
         self._next_heartbeat_at: float = 0
         self._last_informed_at = self._started_at
+        # Since when the fleet's view could serve but for its confirmation.
+        self._has_view_since: float | None = None
         # Nodes to link to, the nearest first.
         self._upstream_ids: list[str] = []
         self._peak_live_count = 1
@@ -320,7 +339,10 @@
             lambda: self._socket, local_addr=(host, int(port))
         )
         self._server = await loop.create_server(
-            lambda: _Subscriber(self), host, int(port)
+            lambda: _Subscriber(self),
+            host,
+            int(port),
+            backlog=SUBSCRIBER_BACKLOG,
         )
         self._tick(self._now())
         self._tick_task = loop.create_task(self._run_ticks())
@@ -389,6 +411,45 @@
         zone = member.availability_zone if member else ''
         self._traffic.add(TrafficKind.VIEW, zone, size)
 
+    def announce_current(self) -> None:
+        """Tell the subscribers that this node is up to date with the store.
+
+        Nodes that start wait for this, and the next heartbeat may be late.
+        """
+        self._confirm_view()
+        self._send_heartbeats()
+
+    def _confirm_view(self) -> None:
+        """Confirm the view of a new process as soon as it can be relied on."""
+        if self._fleet.confirmed or not self._fleet.has_view:
+            return
+        now = self._now()
+        if self._has_view_since is None:
+            self._has_view_since = now
+        if self._feed.current or any(
+            self._is_current(now, link)
+            and not link.revisions.is_ahead_of(self._fleet.revisions)
+            for link in self._links.values()
+        ):
+            log.info('view confirmed', extra=self._describe_view(now))
+            self._fleet.confirm()
+        elif now - self._has_view_since >= self._options.max_unconfirmed_s:
+            log.warning(
+                'view not confirmed, used as it is',
+                extra=self._describe_view(now),
+            )
+            self._fleet.confirm()
+
+    def _describe_view(self, now: float) -> dict[str, float | bool]:
+        revisions = self._fleet.revisions
+        return {
+            'version': revisions.version,
+            'servers_revision': revisions.servers,
+            'zones_revision': revisions.zones,
+            'by_store': self._feed.current,
+            'after_s': round(now - self._started_at, 3),
+        }
+
     def probe_received(self, sender: str, message: object) -> None:
         """Handle a probe message and send the answers."""
         self._send_probes(
@@ -411,6 +472,7 @@
         self._membership.set_period(probe_period_s(len(live_capacities)))
         self._update_links(now, live_capacities)
         self._update_subscriptions(now)
+        self._confirm_view()
         current_links = sum(
             self._is_current(now, link) for link in self._links.values()
         )
@@ -522,17 +584,30 @@
         member = self._membership.lookup(node_id)
         host, _, port = member.link_address.rpartition(':')
         loop = asyncio.get_running_loop()
+        options = self._options
+        timeout_s, delay_s = (
+            (options.connect_timeout_s, options.reconnect_delay_s)
+            if self._fleet.ready
+            else (
+                options.startup_connect_timeout_s,
+                options.startup_reconnect_delay_s,
+            )
+        )
         try:
-            async with asyncio.timeout(self._options.connect_timeout_s):
+            async with asyncio.timeout(timeout_s):
                 _, link = await loop.create_connection(
-                    lambda: _UpstreamLink(self._fleet.apply), host, int(port)
+                    lambda: _UpstreamLink(
+                        self._fleet.apply, self._confirm_view
+                    ),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as exc:
             log.debug(
                 'cannot connect to the upstream peer',
                 extra={'peer': node_id, 'reason': repr(exc)},
             )
-            await asyncio.sleep(self._options.reconnect_delay_s)
+            await asyncio.sleep(delay_s)
         else:
             self._links[node_id] = link
             self._update_subscriptions(self._now())
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -364,3 +364,30 @@
         assert len(watches) == 3
 
     run_on_virtual_time(main)
+
+
+def test_contact_is_reported_once_it_is_complete_and_again_after_a_loss():
+    """Nodes that start wait for a source that has listed every kind."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        store = FakeStore()
+        reported = []
+        feed = ChangeFeed(
+            store,
+            FleetState(loop.time).apply,
+            now=loop.time,
+            rng=random.Random(1),
+            on_current=lambda: reported.append(set(feed._revisions)),
+        )
+        feed.start()
+        await asyncio.sleep(3)
+        assert reported == [set(ResourceKind)]
+        store.unavailable = True
+        await asyncio.sleep(3)
+        store.unavailable = False
+        await asyncio.sleep(5)
+        assert len(reported) == 2
+        feed.stop()
+
+    run_on_virtual_time(main)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -203,3 +203,21 @@
     peer.apply(ServerChanged(server(1, 14)))
     restarted = restart_from(peer)
     assert len(restarted.servers) == 2
+
+
+def test_unconfirmed_view_does_not_serve():
+    """A restarted node used servers that had left, as an old peer told it."""
+    confirmations = []
+    fleet = FleetState(
+        lambda: 0,
+        confirmed=False,
+        on_confirmed=lambda: confirmations.append(fleet.ready),
+    )
+    fleet.apply(LISTED)
+    fleet.apply(RouteTable(7))
+    assert fleet.has_view
+    assert not fleet.ready
+    fleet.confirm()
+    fleet.confirm()
+    assert fleet.ready
+    assert confirmations == [True]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import random
+import socket
 
 import pytest
 
@@ -83,13 +84,14 @@
             await self._start_node(name)
         await asyncio.sleep(3)
 
-    async def _start_node(self, name):
+    async def _start_node(self, name, *, confirmed=True):
         loop = asyncio.get_running_loop()
         member = self.members[name]
         traffic = ZoneTraffic(member.availability_zone)
         view = FleetState(
             loop.time,
             lambda change: self.peers[name].broadcast_change(change),
+            confirmed=confirmed,
         )
         seeds = [seed for seed in self.members.values() if seed.id != member.id]
         peers = Peers(
@@ -292,3 +294,85 @@
         assert all(len(peers._links) <= 3 for peers in fleet.peers.values())
 
     run_test(main)
+
+
+def make_old_view(fleet):
+    server = Server('i-1', 'desk', 'h', 1, 'zone-a', 4, revision=3)
+    fleet.views['a0'].apply(ServersListed((server,), 5))
+    fleet.views['a0'].apply(make_route_table(7))
+
+
+def test_restarted_node_waits_for_a_view_that_is_up_to_date():
+    """A server that had left was in use again after a restart.
+
+    All peers are cut off from the store, so their view may be old.
+    """
+
+    async def main(fleet):
+        await fleet.start(*(name for name in NODES if name != 'c2'))
+        make_old_view(fleet)
+        await asyncio.sleep(0.5)
+        for peers in fleet.peers.values():
+            peers._feed.reachable = False
+        await asyncio.sleep(2.5)
+        await fleet._start_node('c2', confirmed=False)
+        fleet.peers['c2']._feed.reachable = False
+        view = fleet.views['c2']
+        await asyncio.sleep(1)
+        assert view.has_view
+        assert not view.ready
+        fleet.peers['a0']._feed.reachable = True
+        fleet.views['a0'].apply(ServersListed((), 9))
+        fleet.peers['a0'].announce_current()
+        await asyncio.sleep(0.5)
+        assert view.ready
+        assert not view.servers.all_servers()
+
+    run_test(main)
+
+
+def test_restarted_node_serves_while_the_store_is_down():
+    """No peer can confirm a view then; the service must go on."""
+
+    async def main(fleet):
+        await fleet.start('a0', 'b0', 'c0')
+        make_old_view(fleet)
+        for peers in fleet.peers.values():
+            peers._feed.reachable = False
+        await asyncio.sleep(2.5)
+        await fleet._start_node('c2', confirmed=False)
+        fleet.peers['c2']._feed.reachable = False
+        await asyncio.sleep(3)
+        assert fleet.views['c2'].ready
+
+    run_test(main)
+
+
+def test_node_that_starts_before_its_seeds_tries_again_soon():
+    """Nodes waited 0.65 s for seeds that got power back after 0.1 s.
+
+    The seed's listener has a full queue, so it answers no handshake.
+    """
+
+    async def main(fleet):
+        host = fleet.members['a0'].id
+        queue = socket.create_server((host, 7740), backlog=0)
+        blockers = [socket.socket() for _ in range(8)]
+        for blocker in blockers:
+            blocker.setblocking(False)
+            blocker.connect_ex((host, 7740))
+        attempts = []
+        await fleet._start_node('c2', confirmed=False)
+        connect = fleet.peers['c2']._connect
+
+        def count_attempt(node_id):
+            attempts.append(node_id)
+            return connect(node_id)
+
+        fleet.peers['c2']._connect = count_attempt
+        await asyncio.sleep(0.65)
+        assert attempts.count(host) >= 2
+        for sock in (queue, *blockers):
+            sock.close()
+
+    run_test(main)
