Answer every accepted request before a planned stop ends

Cause: at the end of its grace period a node exited with requests under way, whose connections were reset without an answer. The listening sockets stayed open until the process ended, so requests in the backlog, and those that were accepted while it ended, were reset too; so were requests that had arrived, but were not read yet, on connections that were closed as idle.

Change: the listeners close first, after every established connection has been taken over; requests that arrive from then on are refused as not run, and those that are still under way end after 0.25 s with what they have: a partial answer, or the truth about whether they may have run. A connection with unread bytes is not idle.

Ruled out: SHUT_RD on the listening socket, which resets the backlog as well.

--- a/ibismount/caller_connection.py
+++ b/ibismount/caller_connection.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import dataclasses
+import select
 from typing import Protocol
 
 import httptools
@@ -105,9 +106,19 @@
         return self._busy
 
     @property
-    def reading(self) -> bool:
-        """Return whether a request has arrived in part."""
-        return self._request_begun
+    def idle(self) -> bool:
+        """Return whether no request is under way or has arrived in part.
+
+        Bytes that the kernel holds count: closing the connection before they
+        are read would reset it.
+        """
+        return not (
+            self._busy
+            or self._request_begun
+            or self._requests
+            or self._pipelined
+            or self._has_unread_bytes()
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for the first request."""
@@ -204,6 +215,14 @@
         self._requests.append((raw, self._parser.should_keep_alive()))
         self._clear_message()
 
+    def _has_unread_bytes(self) -> bool:
+        descriptor = self._transport.get_extra_info('socket').fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
     def _process_buffered(self) -> None:
         if self._busy or self.closed:
             return
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -28,6 +28,7 @@
 from ibismount.errors import ErrorCode, FindingsError
 from ibismount.extra_request_budget import BudgetOptions, ExtraRequestBudget
 from ibismount.fleet_state import FleetChange, FleetState
+from ibismount.listener import Listener, open_listener
 from ibismount.logs import part_logger
 from ibismount.member import Member
 from ibismount.node_share import NodeShare, NodeShareCalculator
@@ -61,8 +62,12 @@
 # Time after which a leaving node closes idle connections, in seconds: by then,
 # callers have fetched an address list without it.
 IDLE_CLOSE_DELAY_S = 3.2
+# Time that requests under way get after the node has stopped listening, in
+# seconds. It must fit into the rest of the grace period.
+LAST_ANSWERS_S = 0.25
+# Time to send the last answers, in seconds.
+FLUSH_S = 0.1
 METRICS_PATH = b'/metrics'
-LISTEN_BACKLOG = 512  # connections not yet accepted
 
 
 class _ServingEndpoint(CallerEndpoint):
@@ -208,7 +213,7 @@
         )
         self._serving_endpoint = _ServingEndpoint(self)
         self._status_endpoint = _StatusEndpoint(self)
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
         self._stopped = asyncio.Event()
 
     @property
@@ -263,18 +268,14 @@
 
     async def run(self) -> None:
         """Serve until the node has left after a signal."""
-        await self._start_listener(
-            self.cfg.listen.callers, self._serving_endpoint
+        listen = self.cfg.listen
+        self._listeners.append(
+            await open_listener(listen.callers, self._serving_endpoint)
         )
-        await self._start_listener(
-            self.cfg.listen.directory, self._status_endpoint
-        )
-        await self._start_listener(
-            self.cfg.listen.readiness, self._status_endpoint
-        )
-        if self.cfg.listen.metrics:
-            await self._start_listener(
-                self.cfg.listen.metrics, self._status_endpoint
+        status_addresses = (listen.directory, listen.readiness, listen.metrics)
+        for address in filter(None, status_addresses):
+            self._listeners.append(
+                await open_listener(address, self._status_endpoint)
             )
         await self.peers.start()
         housekeeping = asyncio.create_task(self._run_housekeeping())
@@ -349,29 +350,28 @@
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         end_at = loop.time() + self.cfg.bounds.grace_s * GRACE_SHARE
-        idle_close_at = min(loop.time() + IDLE_CLOSE_DELAY_S, end_at)
-        while loop.time() < end_at:
-            if loop.time() >= idle_close_at:
-                for conn in list(self._serving_endpoint.connections):
-                    if not conn.busy and not conn.reading:
-                        conn.close()
-                if not self._serving_endpoint.connections:
-                    break
+        await asyncio.sleep(min(IDLE_CLOSE_DELAY_S, end_at - loop.time()))
+        while loop.time() < end_at and self._close_idle_connections():
             await asyncio.sleep(_DRAIN_POLL_S)
+        for listener in self._listeners:
+            await listener.close()
+        # Requests that have just arrived are refused, and those under way get
+        # a last moment: every caller is answered before the process ends.
+        self.dispatch.refuse_new()
+        close_at = loop.time() + LAST_ANSWERS_S
+        while loop.time() < close_at and self._close_idle_connections():
+            await asyncio.sleep(_LAST_ANSWERS_POLL_S)
+        self.dispatch.end_all()
+        await asyncio.sleep(FLUSH_S)
         self._stopped.set()
 
-    async def _start_listener(
-        self, address: str, endpoint: CallerEndpoint
-    ) -> None:
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: CallerConnection(endpoint),
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
-        )
-        self._listeners.append(server)
+    def _close_idle_connections(self) -> int:
+        """Close idle connections; return the number of those in use."""
+        connections = self._serving_endpoint.connections
+        for conn in list(connections):
+            if conn.idle:
+                conn.close()
+        return sum(not conn.closed for conn in connections)
 
     async def _run_housekeeping(self) -> None:
         loop = asyncio.get_running_loop()
@@ -387,8 +387,10 @@
                 log.info('server gone', extra={'server': server.id})
 
 
-# How often a leaving node looks for idle connections, in seconds.
+# How often a leaving node looks for idle connections, in seconds, before and
+# after it has stopped listening.
 _DRAIN_POLL_S = 0.1
+_LAST_ANSWERS_POLL_S = 0.02
 # How often the settings file is checked for a change, in seconds: it may change
 # without a signal.
 _SETTINGS_CHECK_S = 2.0
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -105,6 +105,7 @@
         self.latency = RouteLatency()
         self._caller_elapsed = CallerElapsed()
         self.wait_queues = WaitQueues()
+        self._refuses_new = False
         # Requests under way at the servers of each service.
         self._in_flight: collections.Counter[str] = collections.Counter()
 
@@ -125,7 +126,11 @@
         Returns:
             The job, or None if the outcome was given at once.
         """
-        if not self.fleet.ready or len(self.jobs) >= self.options.max_jobs:
+        if (
+            self._refuses_new
+            or not self.fleet.ready
+            or len(self.jobs) >= self.options.max_jobs
+        ):
             refusal = self._make_refusal(req)
             self._record_refusal(req, refusal)
             on_outcome(refusal)
@@ -142,6 +147,15 @@
         job.start()
         return None if job.ended else job
 
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on: the node is about to stop."""
+        self._refuses_new = True
+
+    def end_all(self) -> None:
+        """End the requests under way with what they have."""
+        for job in list(self.jobs):
+            job.end_now()
+
     def has_server(self, part: Part) -> bool:
         """Return whether any server may get a part."""
         return any(
@@ -428,9 +442,14 @@
         )
 
     def _make_refusal(self, req: CallerRequest) -> Outcome:
-        code, deadline_share = ErrorCode.NOT_READY, _STARTING_RETRY_AFTER_SHARE
-        if self.fleet.ready:
+        if self._refuses_new:
+            # Other nodes can serve the request at once.
+            code, deadline_share = ErrorCode.SHUTTING_DOWN, 0
+        elif self.fleet.ready:
             code, deadline_share = ErrorCode.ENTRY_BUSY, _RETRY_AFTER_SHARE
+        else:
+            code = ErrorCode.NOT_READY
+            deadline_share = _STARTING_RETRY_AFTER_SHARE
         return Outcome(
             OutcomeKind.NOT_RUN,
             code=code,
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -183,6 +183,16 @@
             self.req, server, max(0.001, remaining_s)
         )
 
+    def end_now(self) -> None:
+        """End the request with what it has: the node is about to stop."""
+        if self.ended:
+            return
+        tracker = self.tracker
+        if tracker.answered_count >= tracker.plan.min_parts:
+            self._finish(self._make_answer())
+        else:
+            self._finish(self._make_failure(ErrorCode.SHUTTING_DOWN))
+
     def caller_left(self) -> None:
         """Cancel the request, because its caller has left."""
         if self.ended:
@@ -421,20 +431,31 @@
             missing=len(self.tracker.parts) - len(self._answers),
         )
 
-    def _make_failure(self) -> Outcome:
+    def _make_failure(self, code: ErrorCode | None = None) -> Outcome:
+        """Return the outcome of a request that can't be answered.
+
+        Args:
+            code: Why, if it is neither the deadline nor the servers.
+        """
+        self._cancel_unsent_calls()
         if not self.route.shards and self._last_failure is not None:
             return Outcome(OutcomeKind.RELAYED, relayed=self._last_failure)
         if not self.tracker.may_have_run:
+            not_run_code = (
+                ErrorCode.DEADLINE_HOPELESS
+                if self._deadline_unreachable
+                else ErrorCode.NO_REPLICA
+            )
             return Outcome(
                 OutcomeKind.NOT_RUN,
-                code=ErrorCode.DEADLINE_HOPELESS
-                if self._deadline_unreachable
-                else ErrorCode.NO_REPLICA,
+                code=code or not_run_code,
                 retry_after_s=self._dispatch.retry_after_s(self.req),
             )
         late = self._dispatch.now() >= self.tracker.plan.end_at
-        code = ErrorCode.DEADLINE_EXCEEDED if late else ErrorCode.BACKEND_LOST
-        return Outcome(OutcomeKind.UNKNOWN, code=code)
+        unknown_code = (
+            ErrorCode.DEADLINE_EXCEEDED if late else ErrorCode.BACKEND_LOST
+        )
+        return Outcome(OutcomeKind.UNKNOWN, code=code or unknown_code)
 
     def _finish(self, outcome: Outcome) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -85,3 +85,27 @@
         assert [cut for caller in callers for cut in caller.cut] == []
 
     run_test(tmp_path, main)
+
+
+def test_requests_that_outlast_the_stop_are_answered(tmp_path):
+    """Requests still under way at the end were cut off without an answer."""
+
+    async def main(fleet, client):
+        for server in fleet.servers:
+            server.work_s = 20
+        ip = fleet.ips[1]
+        fleet.edges[ip].send_signal(signal.SIGTERM)
+        await asyncio.sleep(3)
+        requests = [
+            asyncio.create_task(
+                fleet.send_new_request(client, ip, path, method)
+            )
+            for path, method in (('/search/x', 'GET'), ('/booking1/x', 'POST'))
+        ]
+        for _, answer in await asyncio.gather(*requests):
+            # Both may have run.
+            assert answer.status_code == 502
+            assert answer.content == b'shutting_down'
+        assert await asyncio.wait_for(fleet.edges[ip].wait(), 8) == 0
+
+    run_test(tmp_path, main)
