Do not take a copy without an id for the answer, nor an unsent request for run

Causes: a second, late copy of an answer that does not state the id of its request was taken for the answer to the next request on the connection. An attempt that still waited for its connection at the end of a request counted as run, so the caller of a booking was told "unknown" although nothing had left the node. Between the end of file on an idle connection and the loss that the event loop reports after it, the connection could be taken for a request.

Change: a server that has stated ids once must state them in every answer, or the answer is skipped, logged and counted like one with another id. An idle connection is not used after its end of file. A first page of a list with revision 0 keeps its revision. The pool's unused option fresh= is gone.

Ruled out: requiring an id from every server, since the protocol does not promise it.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -286,6 +286,24 @@
             1, int(connections * _CONNECTION_SHARE / self.node_share().nodes)
         )
 
+    def belongs_to_request(
+        self, job: RequestJob, call: ServerCall, answer: ServerAnswer
+    ) -> bool:
+        """Return whether an answer is for the request that waits for one.
+
+        A server may send a second copy of an earlier answer. Without an id,
+        the copy is recognized only if the server usually states the id.
+        """
+        if answer.names_request:
+            call.health.names_requests = True
+            belongs = answer.kind is not AnswerKind.OTHER_REQUEST
+        else:
+            belongs = not call.health.names_requests
+        if not belongs:
+            self.metrics.record_attempt(AnswerKind.OTHER_REQUEST.value)
+            self._log_attempt(job, call, AnswerKind.OTHER_REQUEST.value)
+        return belongs
+
     def record_answer(
         self, job: RequestJob, call: ServerCall, answer: ServerAnswer
     ) -> None:
--- a/ibismount/http_client.py
+++ b/ibismount/http_client.py
@@ -214,6 +214,9 @@
             self._close_after_exchange = True
             self._finish_message()
             self._deliver_responses()
+        # The transport closes by itself, but only after this call: a request
+        # sent until then would be lost.
+        self.closed = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange under way and notify the pool."""
--- a/ibismount/platform/store.py
+++ b/ibismount/platform/store.py
@@ -125,7 +125,7 @@
         """
         entries: list[StoredEntry] = []
         after = ''
-        revision = 0
+        revision: int | None = None
         while True:
             query = f'?after={quote(after)}' if after else ''
             page = self._decode(
@@ -134,7 +134,8 @@
             entries.extend(map(_convert_entry, page.items))
             # A watch from the first page's revision also returns the changes
             # made while the later pages were read.
-            revision = revision or page.store_revision
+            if revision is None:
+                revision = page.store_revision
             if not page.has_more or not page.items:
                 return Listing(entries, revision)
             after = page.items[-1].meta.name
--- a/ibismount/platform/wire.py
+++ b/ibismount/platform/wire.py
@@ -142,6 +142,7 @@
             raw,
             signature=signature,
             cold_s=_parse_cold_s(headers_by_name.get(_COLD_HEADER)),
+            names_request=echoed_request_id is not None,
         )
 
     def encode_outcome(self, outcome: Outcome, *, last: bool) -> bytes:
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -207,7 +207,7 @@
         """Handle an answer; return False if it belongs to another request."""
         dispatch = self._dispatch
         answer = dispatch.wire.read_answer(self.req, raw)
-        if answer.kind is AnswerKind.OTHER_REQUEST:
+        if not dispatch.belongs_to_request(self, call, answer):
             return False
         self._close_call(call, raw.received_bytes)
         dispatch.record_answer(self, call, answer)
@@ -484,6 +484,14 @@
             self._close_call(call)
             call.pending.cancel()
 
+    def _cancel_unsent_calls(self) -> None:
+        """Cancel attempts that still wait for a connection: they did not run."""
+        for call in list(self._open_calls):
+            if not call.pending.sent:
+                self._close_call(call)
+                call.pending.cancel()
+                self.tracker.record_not_run(call.attempt)
+
     def _leave_queues(self) -> None:
         for part in list(self._waiters):
             self._leave_queue(part)
--- a/ibismount/server_connection_pool.py
+++ b/ibismount/server_connection_pool.py
@@ -47,6 +47,11 @@
         self.task: asyncio.Task | None = None
         self.canceled = False
 
+    @property
+    def sent(self) -> bool:
+        """Return whether any byte of the request may have been sent."""
+        return self.conn is not None
+
     def cancel(self) -> None:
         """Cancel the exchange without notifying its owner."""
         self.canceled = True
@@ -76,7 +81,6 @@
         request: Callable[[], bytes],
         *,
         max_open: int,
-        fresh: bool = False,
     ) -> PendingExchange | None:
         """Start an exchange.
 
@@ -85,13 +89,12 @@
             owner: Gets the outcome, never before this method returns.
             request: Encodes the request when it is about to be sent.
             max_open: Most connections to this server.
-            fresh: Open a new connection instead of reusing one.
 
         Returns:
             A handle to cancel it, or None when no connection is free.
         """
         pending = PendingExchange(owner, request)
-        conn = None if fresh else self._pop_idle(address)
+        conn = self._pop_idle(address)
         if conn is not None:
             pending.conn = conn
             conn.send(owner, request())
--- a/ibismount/server_health.py
+++ b/ibismount/server_health.py
@@ -68,6 +68,7 @@
         '_options',
         '_slow_since',
         'in_flight',
+        'names_requests',
         'suspect_until',
     )
 
@@ -84,6 +85,8 @@
         # First of the slow observations since the last answer in time.
         self._slow_since: float | None = None
         self.in_flight = 0
+        # Some answer of the server stated the id of its request.
+        self.names_requests = False
         # Until this time, other servers are preferred, since a request is
         # overdue at this one.
         self.suspect_until: float = 0
--- a/ibismount/wire_format.py
+++ b/ibismount/wire_format.py
@@ -78,13 +78,15 @@
     """One answer of a backend server.
 
     ``signature`` proves which server sent it; ``cold_s`` is the time for which
-    the server reports that it stays cold.
+    the server reports that it stays cold. ``names_request`` tells whether the
+    answer states the id of its request.
     """
 
     kind: AnswerKind
     raw: RawResponse
     signature: str = ''
     cold_s: float = 0
+    names_request: bool = False
 
 
 class OutcomeKind(enum.Enum):
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -49,6 +49,8 @@
         }
         self.open = collections.Counter()
         self.refusing_connections = set()
+        # Servers to which connections are neither refused nor established.
+        self.silent_hosts = set()
 
     def start_exchange(self, address, owner, request, *, max_open):
         if self.open[address] >= max_open:
@@ -69,10 +71,14 @@
         self.raw = request()
         self.loop = asyncio.get_running_loop()
         self.ended = False
+        self.sent = False
 
     def receive(self):
         if self.ended:
             return
+        if self.server.server.id in self.pool.silent_hosts:
+            return
+        self.sent = True
         server = self.server
         if server.server.id in self.pool.refusing_connections:
             self.end(
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -9,6 +9,7 @@
 
 from ibismount.errors import ErrorCode
 from ibismount.fleet_state import ServerChanged, ServerRemoved, ZoneChanged
+from ibismount.http_client import RawResponse
 from ibismount.node_share import NodeShare
 from ibismount.routes import RouteTable
 from ibismount.server_table import Server
@@ -586,3 +587,90 @@
         assert not harness.dispatch._in_flight
 
     run_on_virtual_time(main)
+
+
+def test_second_copy_without_an_id_is_not_an_answer():
+    """A late copy of an earlier answer reached the next caller.
+
+    The server states the id of a request in its other answers.
+    """
+
+    async def main():
+        harness = DispatchHarness()
+        await harness.submit_and_wait(b'/lookup/x')
+        for server in harness.servers_of('lookup'):
+            server.choose_reply = lambda exchange: 'hang'
+        _, job, fut = harness.submit(b'/lookup/x')
+        call = next(iter(job._open_calls))
+        stamp = (b'ibismount-server-stamp', b'copy')
+        named = RawResponse(200, [stamp, (b'ibismount-request-id', b'q1')], b'')
+        unnamed = RawResponse(200, [stamp], b'')
+        assert not call.on_response(named)
+        assert not call.on_response(unnamed)
+        assert not fut.done()
+        # A failure would also be passed on to the caller.
+        assert not call.on_response(RawResponse(500, [stamp], b''))
+        assert not fut.done()
+
+    run_on_virtual_time(main)
+
+
+def test_server_that_never_states_ids_is_used():
+    """Answers without an id are normal for a server that has no ids."""
+
+    async def main():
+        harness = DispatchHarness()
+        for _ in range(3):
+            outcome, _ = await harness.submit_and_wait(b'/lookup/x')
+            assert outcome.kind is OutcomeKind.RELAYED
+
+    run_on_virtual_time(main)
+
+
+def test_request_that_never_left_the_node_is_not_called_unknown():
+    """Callers can't repeat a booking after an unknown outcome.
+
+    The connection to the only server that is left hangs until the deadline.
+    """
+
+    async def main():
+        harness = DispatchHarness()
+        silent = {fake.server.id for fake in harness.servers_of('lookup')}
+        harness.pool.silent_hosts = silent
+        outcome, _ = await harness.submit_and_wait(
+            b'/booking/x', deadline_ms=300, method=b'POST'
+        )
+        assert outcome.kind is OutcomeKind.NOT_RUN
+        harness.pool.silent_hosts = set()
+        await asyncio.sleep(2)
+        assert not any(fake.ran for fake in harness.servers.values())
+
+    run_on_virtual_time(main)
+
+
+def test_stop_ends_each_request_with_its_true_outcome():
+    """Requests under way at the end of a stop got no answer at all."""
+
+    async def main():
+        harness = DispatchHarness()
+        for fake in harness.servers_of('lookup'):
+            fake.choose_reply = lambda exchange: 'hang'
+        _, _, running = harness.submit(b'/lookup/x')
+        hanging = harness.servers_of(SHARDS[0])
+        for fake in hanging:
+            fake.choose_reply = lambda exchange: 'hang'
+        _, _, search = harness.submit()
+        await asyncio.sleep(0.05)
+        harness.dispatch.refuse_new()
+        _, _, refused = harness.submit(b'/lookup/x')
+        assert refused.result().code is ErrorCode.SHUTTING_DOWN
+        assert refused.result().kind is OutcomeKind.NOT_RUN
+        assert not search.done()
+        harness.dispatch.end_all()
+        assert search.result().kind is OutcomeKind.MERGED
+        assert search.result().missing == 1
+        assert running.result().kind is OutcomeKind.UNKNOWN
+        assert running.result().code is ErrorCode.SHUTTING_DOWN
+        assert not harness.dispatch.jobs
+
+    run_on_virtual_time(main)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -162,6 +162,29 @@
     run_test(main)
 
 
+def test_idle_connection_that_the_server_closes_is_not_used():
+    """A request sent on it is lost, and a booking can't be sent again.
+
+    The event loop reports the loss one iteration after the end of file.
+    """
+
+    async def main():
+        pool = ServerConnectionPool()
+        async with ScriptedServer(
+            [RESPONSE % b'1'], [RESPONSE % b'2']
+        ) as server:
+            await fetch(pool, server, b'1')
+            (conns,) = pool._idle.values()
+            closing = conns[0]
+            closing.eof_received()
+            assert (await fetch(pool, server, b'2')).body == b'ok'
+            assert server.accepted == 2
+            closing.close()
+            pool.close()
+
+    run_test(main)
+
+
 @pytest.mark.parametrize(
     'truncated',
     [
