Show the usage of the edge program, and check its settings without a start

Ruled out: argparse or cleo, whose import takes processor time at every start. The new tests fail without the change.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -456,19 +456,47 @@
     await edge.run()
 
 
+USAGE = """\
+usage: python -m ibismount.edge [--check] SETTINGS
+
+Run one node until SIGTERM. SETTINGS is the file with its settings; it is read
+again when it changes.
+
+options:
+  -h, --help  show this help and exit
+  --check     check the settings, print what is wrong with them, and exit
+"""
+
+
 def main() -> int:
-    """Run one node; the first command-line argument is the settings file."""
-    path = sys.argv[1] if len(sys.argv) > 1 else ''
+    """Run one node, or check its settings; see ``USAGE``."""
+    options, paths = _split_arguments(sys.argv[1:])
+    if options & {'-h', '--help'}:
+        sys.stdout.write(USAGE)
+        return 0
+    if len(paths) != 1 or options - {'--check'}:
+        sys.stderr.write(USAGE)
+        return 2
+    path = paths[0]
     try:
         cfg = load_settings(path)
     except FindingsError as exc:
         for finding in exc.findings:
             sys.stderr.write(f'{finding}\n')
         return 2
+    if options:
+        sys.stdout.write(f'{path}: no findings\n')
+        return 0
     configure_edge_logs('info', node=cfg.node.name)
     asyncio.run(_serve(cfg, path))
     return 0
 
 
+def _split_arguments(arguments: list[str]) -> tuple[set[str], list[str]]:
+    """Return the options and the paths among the arguments."""
+    options = {argument for argument in arguments if argument.startswith('-')}
+    return options, [path for path in arguments if path not in options]
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ibismount.edge import main
 from ibismount.edge_settings import check_settings, load_settings
 from ibismount.errors import FindingsError
 
@@ -87,3 +88,36 @@
     locked = set((ROOT / 'requirements.lock').read_text().split())
     deployed = (ROOT / 'deploy' / 'requirements.txt').read_text().split()
     assert set(deployed) <= locked
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'stream', 'text'),
+    [
+        (['--help'], 0, 'out', 'usage:'),
+        (['-h'], 0, 'out', '--check'),
+        ([], 2, 'err', 'usage:'),
+        (['--verbose', 'node.yaml'], 2, 'err', 'usage:'),
+        (['one.yaml', 'two.yaml'], 2, 'err', 'usage:'),
+        (['--check', 'missing.yaml'], 2, 'err', 'missing.yaml'),
+    ],
+)
+def test_options_are_not_taken_for_a_path(
+    monkeypatch, capsys, arguments, code, stream, text
+):
+    """``--help`` was read as the path of a settings file."""
+    monkeypatch.setattr('sys.argv', ['edge', *arguments])
+    assert main() == code
+    assert text in getattr(capsys.readouterr(), stream)
+
+
+def test_settings_are_checked_without_starting_a_node(
+    monkeypatch, capsys, tmp_path
+):
+    """Operators check a file before they put it in place."""
+    path = tmp_path / 'node.yaml'
+    path.write_text(json.dumps(VALID))
+    monkeypatch.setattr('sys.argv', ['edge', '--check', str(path)])
+    assert main() == 0
+    path.write_text(json.dumps({**VALID, 'store': {}}))
+    assert main() == 2
+    assert 'store.address' in capsys.readouterr().err
