--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import json
 import sys
@@ -28,6 +29,7 @@
 __all__ = ('ObjectStore', 'serve_store')
 
 PAGE_SIZE = 50  # objects in one page of a list
+HISTORY_LENGTH = 10_000  # events that are kept for watches
 
 
 class ObjectStore:
@@ -40,7 +42,9 @@
         # One of: '', 'busy', 'silent', 'reset', 'garbage'.
         self.fault = ''
         self._kinds: dict[str, dict[str, dict]] = {}
-        self._history: list[tuple[int, str, dict]] = []
+        self._history: collections.deque[tuple[int, str, dict]] = (
+            collections.deque()
+        )
         self._oldest_revision = 0
         self._changed = asyncio.Condition()
 
@@ -77,6 +81,10 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def contains(self, kind: str, name: str) -> bool:
+        """Return whether an object exists."""
+        return name in self._kinds.get(kind, {})
+
     def list_page(self, kind: str, after: str) -> dict:
         """Return the page of objects that follows a name."""
         objects = self._kinds.get(kind, {})
@@ -154,6 +162,8 @@
 
     async def _record_event(self, kind: str, event: dict) -> None:
         self._history.append((self.revision, kind, event))
+        if len(self._history) > HISTORY_LENGTH:
+            self._oldest_revision = self._history.popleft()[0]
         async with self._changed:
             self._changed.notify_all()
 
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 
+import anyio
 import anyio.abc
 
 from standins._http_server import (
@@ -21,6 +22,11 @@
 __all__ = ('ShardServer', 'serve_shard')
 
 _UNREQUESTED_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno'
+_ENDLESS_STARTS = {
+    'endless_head': b'HTTP/1.1 200 OK\r\nx-a: ',
+    'endless_body': b'HTTP/1.1 200 OK\r\n\r\n',
+}
+_ENDLESS_PIECE = b'v' * 16384
 
 
 @dataclasses.dataclass(eq=False)
@@ -29,7 +35,10 @@
 
     Faults: ``''`` (none), ``reset`` (reset the connection), ``silent`` (send no
     response), ``cut`` (send half of the body), ``extra`` (append a response
-    that was not requested) and ``fail`` (status 500).
+    that was not requested), ``copy`` and ``unnamed_copy`` (send a second copy
+    of the last response before the next one; without the request's id),
+    ``endless_head`` and ``endless_body`` (send bytes until the connection is
+    closed) and ``fail`` (status 500).
     """
 
     id: str
@@ -76,6 +85,7 @@
         """Take over an accepted connection."""
         super().__init__(stream)
         self._server = server
+        self._last_encoded = b''
 
     async def respond(self, request: HttpRequest) -> HttpResponse:
         """Run a request and build its response."""
@@ -89,6 +99,8 @@
         if server.fault == 'reset':
             self.reset()
         self.silent = server.fault == 'silent'
+        if server.fault in _ENDLESS_STARTS:
+            await self._send_without_end(_ENDLESS_STARTS[server.fault])
         headers = [
             ('ibismount-request-id', request_id),
             ('ibismount-server-stamp', f'{server.id}.{request_id}'),
@@ -101,12 +113,35 @@
 
     def _encode(self, response: HttpResponse) -> bytes:
         encoded = super()._encode(response)
-        if self._server.fault == 'cut':
+        last_encoded, self._last_encoded = self._last_encoded, encoded
+        fault = self._server.fault
+        if fault == 'cut':
             return encoded[: -len(response.body) // 2]
-        if self._server.fault == 'extra':
+        if fault == 'extra':
             return encoded + _UNREQUESTED_RESPONSE
+        if fault == 'copy':
+            return last_encoded + encoded
+        if fault == 'unnamed_copy':
+            return _remove_request_id(last_encoded) + encoded
         return encoded
 
+    async def _send_without_end(self, start: bytes) -> None:
+        try:
+            await self._stream.send(start)
+            while True:
+                await self._stream.send(_ENDLESS_PIECE)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.scope.cancel()
+            await anyio.sleep_forever()
+
+
+def _remove_request_id(encoded: bytes) -> bytes:
+    return b'\r\n'.join(
+        line
+        for line in encoded.split(b'\r\n')
+        if not line.lower().startswith(b'ibismount-request-id:')
+    )
+
 
 async def serve_shard(
     server: ShardServer, host: str
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -40,12 +40,19 @@
 COLD_RATE_FACTOR = 1.5
 COLD_EXTRA_REQUESTS = 5
 COLD_PROPAGATION_S = 1.0
+# A server that has left gets no request after this time, although nodes start
+# again meanwhile, unless the store was faulty or a node was paused.
+REMOVAL_PROPAGATION_S = 2.0
+REMOVAL_S = 4.5
+# A caller that sends without end must be disconnected before this many bytes.
+MAX_FLOOD_BYTES = 64 * 1024 * 1024
+FLOOD_PIECE = b'v' * 65536
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ColdPeriod:
-    """Period in which all nodes limit the requests to a cold server.
+class ServerPeriod:
+    """Period in which all nodes know that a server is cold, or has left.
 
     ``start`` and ``end`` are in seconds of the event loop's clock.
     """
@@ -57,11 +64,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentRequest:
-    """One request and its HTTP status; 0 when there was no response."""
+    """One request and its HTTP status; 0 when there was no response.
+
+    ``cut_by_stop`` tells that a planned stop of its node ended its connection.
+    """
 
     request_id: str
     booking: bool
     status: int
+    cut_by_stop: bool = False
 
 
 class SoakRun:
@@ -79,7 +90,11 @@
         self._faulty_ips: set[str] = set()
         self._version = 1
         self._store_fault_ended_at = float('-inf')
-        self._cold_periods: list[ColdPeriod] = []
+        self._pause_ended_at = float('-inf')
+        self._paused_count = 0
+        self._cold_periods: list[ServerPeriod] = []
+        self._removal_periods: list[ServerPeriod] = []
+        self._stopping_ips: set[str] = set()
         self.sent: list[SentRequest] = []
         self.findings: list[str] = []
 
@@ -98,6 +113,8 @@
         self._check_runs()
         for period in self._cold_periods:
             self._check_cold_rate(period)
+        for period in self._removal_periods:
+            self._check_removed(period)
 
     async def _run_caller(self, number: int) -> None:
         rng = random.Random(f'{self._rng.random()}{number}')
@@ -124,9 +141,13 @@
             response = await self._fleet.send_request(
                 client, ip, request_id, path, method
             )
-        except httpx.HTTPError:
+        except httpx.ConnectError:
             self.sent.append(SentRequest(request_id, booking, 0))
             return
+        except httpx.HTTPError:
+            cut_by_stop = ip in self._stopping_ips
+            self.sent.append(SentRequest(request_id, booking, 0, cut_by_stop))
+            return
         self.sent.append(SentRequest(request_id, booking, response.status_code))
         if response.status_code == httpx.codes.OK:
             self._check_answer(request_id, response, booking=booking)
@@ -177,6 +198,10 @@
                 self.findings.append(
                     f'{request.request_id}: booking ran {runs} times'
                 )
+            if request.cut_by_stop and runs:
+                self.findings.append(
+                    f'{request.request_id}: cut off by a planned stop'
+                )
             refused = request.booking and request.status in _NOT_RUN
             if refused and runs:
                 self.findings.append(
@@ -188,7 +213,19 @@
                 f'only {served} of {len(self.sent)} requests were answered'
             )
 
-    def _check_cold_rate(self, period: ColdPeriod) -> None:
+    def _check_removed(self, period: ServerPeriod) -> None:
+        """Check that a server that had left got no request."""
+        arrivals = [
+            at
+            for at in period.server.arrival_times_s
+            if period.start <= at < period.end
+        ]
+        if arrivals:
+            self.findings.append(
+                f'{period.server.id}: {len(arrivals)} requests after it left'
+            )
+
+    def _check_cold_rate(self, period: ServerPeriod) -> None:
         """Check that no second exceeded the request limit of a cold server."""
         max_requests = COLD_RATE_PER_S * COLD_RATE_FACTOR + COLD_EXTRA_REQUESTS
         arrivals = [
@@ -212,6 +249,8 @@
             self._break_server_link,
             self._break_server,
             self._drain_server,
+            self._remove_server,
+            self._flood_node,
             self._turn_service_cold,
             self._change_config_version,
         )
@@ -240,8 +279,13 @@
         if ip is None:
             return
         process = self._fleet.edges[ip]
+        if signum is signal.SIGTERM:
+            self._stopping_ips.add(ip)
         process.send_signal(signum)
         await process.wait()
+        # Callers notice the end of their connections a moment later.
+        await asyncio.sleep(0.05)
+        self._stopping_ips.discard(ip)
         await asyncio.sleep(self._draw_duration_s() / 2)
         await self._fleet.start_edge(ip)
         await self._fleet.wait_until_ready(ip)
@@ -258,9 +302,12 @@
         if ip is None:
             return
         process = self._fleet.edges[ip]
+        self._paused_count += 1
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._draw_duration_s())
         process.send_signal(signal.SIGCONT)
+        self._paused_count -= 1
+        self._pause_ended_at = asyncio.get_running_loop().time()
         self._faulty_ips.discard(ip)
 
     async def _break_store_link(self) -> None:
@@ -286,7 +333,17 @@
     async def _break_server(self) -> None:
         server = self._rng.choice(self._fleet.servers)
         server.fault = self._rng.choice(
-            ('reset', 'cut', 'silent', 'extra', 'fail')
+            (
+                'reset',
+                'cut',
+                'silent',
+                'extra',
+                'copy',
+                'unnamed_copy',
+                'endless_head',
+                'endless_body',
+                'fail',
+            )
         )
         await asyncio.sleep(self._draw_duration_s())
         server.fault = ''
@@ -297,6 +354,50 @@
         await asyncio.sleep(self._draw_duration_s())
         await self._fleet.register(server)
 
+    async def _remove_server(self) -> None:
+        """Remove a server's entry for a while; the server goes on serving."""
+        loop = asyncio.get_running_loop()
+        server = self._rng.choice(self._fleet.servers)
+        removed_at = loop.time()
+        await self._fleet.store.delete('servers', server.id)
+        await asyncio.sleep(REMOVAL_S)
+        period = ServerPeriod(
+            server, removed_at + REMOVAL_PROPAGATION_S, loop.time()
+        )
+        still_removed = not self._fleet.store.contains('servers', server.id)
+        if still_removed and not self._view_was_disturbed(removed_at):
+            self._removal_periods.append(period)
+        await self._fleet.register(server)
+
+    def _view_was_disturbed(self, since: float) -> bool:
+        """Return whether nodes may have missed a change made at a time."""
+        disturbed_at = max(self._store_fault_ended_at, self._pause_ended_at)
+        return bool(
+            disturbed_at > since - 2 * COLD_PROPAGATION_S
+            or self._fleet.store_proxy.fault
+            or self._paused_count
+        )
+
+    async def _flood_node(self) -> None:
+        """Send a head without end, until the node closes the connection."""
+        ip = self._rng.choice(self._fleet.ips)
+        try:
+            _, writer = await asyncio.open_connection(ip, self._fleet.ports[1])
+        except OSError:
+            return
+        writer.write(b'GET /search/x HTTP/1.1\r\nx-a: ')
+        sent_bytes = 0
+        try:
+            while sent_bytes < MAX_FLOOD_BYTES:
+                writer.write(FLOOD_PIECE)
+                await writer.drain()
+                sent_bytes += len(FLOOD_PIECE)
+        except ConnectionError:
+            return
+        finally:
+            writer.transport.abort()
+        self.findings.append(f'{ip}: read {sent_bytes} bytes of one head')
+
     async def _turn_service_cold(self) -> None:
         """Register all servers of a service as cold.
 
@@ -323,7 +424,7 @@
         if store_was_faulty or self._fleet.store_proxy.fault:
             return
         self._cold_periods.extend(
-            ColdPeriod(server, propagated_at, server.cold_until)
+            ServerPeriod(server, propagated_at, server.cold_until)
             for server in servers
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from standins.edge_fleet import SHARDS
 from standins.shard_server import ShardServer
-from standins.soak import ColdPeriod, SentRequest, SoakRun, run_seed
+from standins.soak import ServerPeriod, SentRequest, SoakRun, run_seed
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -92,8 +92,32 @@
     run = SoakRun(FakeFleet({}), 1)
     server = ShardServer('s0-z0', 's0')
     server.arrival_times_s = [1 + number / 20 for number in range(14)]
-    run._check_cold_rate(ColdPeriod(server, 0, 3))
+    run._check_cold_rate(ServerPeriod(server, 0, 3))
     assert run.findings == []
     server.arrival_times_s = [1 + number / 20 for number in range(20)]
-    run._check_cold_rate(ColdPeriod(server, 0, 3))
+    run._check_cold_rate(ServerPeriod(server, 0, 3))
     assert len(run.findings) == 1
+
+
+def test_request_to_a_server_that_has_left_is_found():
+    """A restarted node that uses an old view sends to such a server."""
+    run = SoakRun(FakeFleet({}), 1)
+    server = ShardServer('s0-z0', 's0')
+    server.arrival_times_s = [0.5, 4]
+    run._check_removed(ServerPeriod(server, 1, 3))
+    assert run.findings == []
+    server.arrival_times_s.append(2)
+    run._check_removed(ServerPeriod(server, 1, 3))
+    assert len(run.findings) == 1
+
+
+def test_request_that_a_planned_stop_cut_off_is_found():
+    """A request that had run must be answered before the node ends."""
+    run = SoakRun(FakeFleet({'q1': 1, 'q2': 0}), 1)
+    run.sent = [
+        SentRequest('q1', booking=False, status=0, cut_by_stop=True),
+        SentRequest('q2', booking=False, status=0, cut_by_stop=True),
+        *(SentRequest('q2', booking=False, status=200) for _ in range(3)),
+    ]
+    run._check_runs()
+    assert run.findings == ['q1: cut off by a planned stop']
