Answer every accepted request before the daemon's API stops

Cause: at a planned stop the server library of the own interface resets connections that it has accepted but not read, and those in the backlog.

Change: while the node leaves, each response closes its connection. Then a listener with the edge program's connections takes over the address and refuses requests as not run, the library gets 0.2 s for what it has accepted, and the listener closes after the library has ended.

Ruled out: a longer graceful timeout of the library, which only waits for requests that it has begun to read; shutting the socket down for reading, which resets the backlog.

--- a/ibismount/api.py
+++ b/ibismount/api.py
@@ -23,7 +23,7 @@
 from ibismount.logs import part_logger
 from ibismount.settings import Settings
 
-__all__ = ('make_app',)
+__all__ = ('make_app', 'make_shutdown_refusal')
 
 log = part_logger('api')
 
@@ -252,6 +252,16 @@
     )
 
 
+def make_shutdown_refusal(admin: Administration) -> Response:
+    """Return the response to any request that arrives while the node stops."""
+    return _http_rendering.problem_response(
+        ErrorCode.SHUTTING_DOWN,
+        'the node is shutting down; nothing was run',
+        503,
+        addresses=admin.addresses()['addresses'],
+    )
+
+
 async def _serve_openapi(request: Request) -> Response:
     text = importlib.resources.files('ibismount').joinpath('openapi.yaml')
     return PlainTextResponse(
--- a/ibismount/daemon.py
+++ b/ibismount/daemon.py
@@ -7,11 +7,10 @@
 import time
 
 import anyio
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from ibismount.administration import Administration
-from ibismount.api import make_app
+from ibismount.api import make_app, make_shutdown_refusal
+from ibismount.api_server import open_api_server
 from ibismount.backend import make_backend_client
 from ibismount.errors import FindingsError, IbismountError
 from ibismount.link_manager import LinkManager
@@ -66,40 +65,32 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        stop_requested = anyio.Event()
+        admin = Administration(self.node, self.cfg)
+        api_server = open_api_server(
+            self.cfg.node.api_address,
+            make_app(self.components.entry, admin, cfg=self.cfg),
+            lambda: make_shutdown_refusal(admin),
+        )
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.link_manager.serve)
             tasks.start_soon(self._update_peer_addresses)
             await self.components.start(tasks)
-            api_stopped = anyio.Event()
-            tasks.start_soon(self._serve_api, stop_requested, api_stopped)
+            tasks.start_soon(api_server.run)
             log.info(
                 'node started; the HTTP API listens on %s',
                 self.cfg.node.api_address,
             )
             await _wait_for_signal()
+            api_server.begin_leaving()
             await self.components.leave()
-            stop_requested.set()
             # The API server must finish by itself, because cancelling it
             # would lose responses that are still being written.
             with anyio.move_on_after(API_CLOSE_TIMEOUT_S):
-                await api_stopped.wait()
+                await api_server.stop()
                 await self.link_manager.flush()
             tasks.cancel_scope.cancel()
         log.info('node stopped')
 
-    async def _serve_api(
-        self, stop_requested: anyio.Event, api_stopped: anyio.Event
-    ) -> None:
-        config = Config()
-        config.bind = [self.cfg.node.api_address]
-        config.errorlog = None
-        config.accesslog = None
-        admin = Administration(self.node, self.cfg)
-        app = make_app(self.components.entry, admin, cfg=self.cfg)
-        await serve(app, config, shutdown_trigger=stop_requested.wait)
-        api_stopped.set()
-
     async def _update_peer_addresses(self) -> None:
         """Keep the link addresses of all known nodes up to date.
 
