Bound the responses of the own interface's store, and decode them faster

Causes: the client of the own interface's store kept a response of any size, so a store that sends without end filled the memory until the call timed out. And a page of 4 MB took 0.064 s of processor time in client and stand-in together, so a client with a limit of 0.5 s failed once beside load (test_watch_answers_on_write_and_large_lists_are_complete).

Change: a response may have 16 MiB, is not compressed, and its connection is closed above that. msgspec, which the edge program uses already, encodes and decodes pages with their base64 values: 0.026 s a page, in the same trial script on the same machine. The client's limit of the test is unchanged.

Ruled out: a longer limit in that test, which would hide the cost. Two of three new cases fail without the change; an endless header was bounded before.

--- a/ibismount/object_store.py
+++ b/ibismount/object_store.py
@@ -1,14 +1,14 @@
 """Client of the platform's object API: conditional updates and watches."""
 
 import abc
-import base64
 import dataclasses
 from collections.abc import Mapping
-from typing import Any, NoReturn
+from typing import Any, NamedTuple, NoReturn
 from urllib.parse import quote
 
 import anyio
 import httpx
+import msgspec
 
 from ibismount.errors import ErrorCode, IbismountError
 
@@ -23,6 +23,9 @@
 # The response to a watch may arrive this much later than its timeout.
 WATCH_GRACE_S = 2.0
 
+# Largest response: a page has at most 4 MB of values, a third more in base64.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
 # After these errors the request was not sent, so no write took effect.
 _NOT_SENT_ERRORS = (
     httpx.ConnectError,
@@ -52,6 +55,29 @@
     version: int
 
 
+class _PageRow(msgspec.Struct):
+    """An object in a page of a list; its value is base64."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class _Page(msgspec.Struct):
+    """A page of a list; ``more`` tells that another one follows."""
+
+    objects: list[_PageRow]
+    more: bool = False
+
+
+class _Response(NamedTuple):
+    """A response that was read to its end."""
+
+    status_code: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 # Needed because the class below defines a method named list.
 Objects = list[StoredObject]
 
@@ -134,7 +160,10 @@
         self, base_url: str, *, token: str = '', timeout_s: float = 2
     ) -> None:
         """Create the client without connecting."""
-        headers = {'authorization': f'Bearer {token}'} if token else {}
+        # Compression would make a small response large.
+        headers = {'accept-encoding': 'identity'}
+        if token:
+            headers['authorization'] = f'Bearer {token}'
         # The connection attempt times out before the whole call, so that an
         # unreachable address is not mistaken for a lost response. Proxies from
         # the environment are ignored, because the platform is addressed by IP.
@@ -151,9 +180,7 @@
         response = await self._request('GET', _object_path(key), place=key)
         if response.status_code == httpx.codes.NOT_FOUND:
             return None
-        return StoredObject(
-            key, response.content, _parse_version(response, key)
-        )
+        return StoredObject(key, response.body, _parse_version(response, key))
 
     async def create(self, key: str, value: bytes) -> StoredObject:
         """Create an object; raise ``already_exists`` when there is one."""
@@ -224,16 +251,19 @@
         place: str,
         timeout_s: float = 0,
         **options: Any,
-    ) -> httpx.Response:
+    ) -> _Response:
         is_write = method != 'GET'
         try:
             with anyio.fail_after(timeout_s or self._timeout_s):
-                response = await self._client.request(method, path, **options)
+                async with self._client.stream(
+                    method, path, **options
+                ) as streamed:
+                    response = await _read_response(streamed)
         except _NOT_SENT_ERRORS as exc:
             raise PlatformError(
                 f'cannot connect to the platform ({exc!r})', place=place
             ) from exc
-        except (httpx.HTTPError, TimeoutError) as exc:
+        except (httpx.HTTPError, TimeoutError, _ResponseTooLargeError) as exc:
             raise PlatformError(
                 f'no response from the platform ({exc!r})',
                 place=place,
@@ -257,12 +287,27 @@
     return HttpPlatform(base_url, token=token, timeout_s=timeout_s)
 
 
+class _ResponseTooLargeError(Exception):
+    """Report a body above the limit; its connection is closed."""
+
+
+async def _read_response(streamed: httpx.Response) -> _Response:
+    body = bytearray()
+    async for chunk in streamed.aiter_raw():
+        body.extend(chunk)
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise _ResponseTooLargeError(
+                f'larger than {MAX_RESPONSE_BYTES} bytes'
+            )
+    return _Response(streamed.status_code, streamed.headers, bytes(body))
+
+
 def _object_path(key: str) -> str:
     return f'/objects/{quote(key)}'
 
 
 def _raise_for_status(
-    response: httpx.Response, place: str, *, is_write: bool
+    response: _Response, place: str, *, is_write: bool
 ) -> None:
     status = response.status_code
     if status == httpx.codes.NOT_FOUND and not is_write:
@@ -280,7 +325,7 @@
 
 
 def _parse_version(
-    response: httpx.Response, place: str, *, is_write: bool = False
+    response: _Response, place: str, *, is_write: bool = False
 ) -> int:
     try:
         return int(response.headers['x-version'])
@@ -288,20 +333,15 @@
         _raise_unreadable(exc, place, is_write=is_write)
 
 
-def _decode_page(response: httpx.Response, place: str) -> tuple[Objects, bool]:
+def _decode_page(response: _Response, place: str) -> tuple[Objects, bool]:
     try:
-        page = response.json()
-        objects = [
-            StoredObject(
-                row['key'],
-                base64.b64decode(row['value'], validate=True),
-                int(row['version']),
-            )
-            for row in page['objects']
-        ]
-    except (KeyError, TypeError, ValueError) as exc:
+        page = msgspec.json.decode(response.body, type=_Page)
+    except msgspec.DecodeError as exc:
         _raise_unreadable(exc, place)
-    return objects, bool(page.get('more')) and bool(objects)
+    objects = [
+        StoredObject(row.key, row.value, row.version) for row in page.objects
+    ]
+    return objects, page.more and bool(objects)
 
 
 def _raise_unreadable(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,13 +6,13 @@
 """
 
 import argparse
-import base64
 import dataclasses
 from typing import Any
 
 import anyio
 import hypercorn.config
 import hypercorn.trio
+import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -104,7 +104,10 @@
             objects = await self._wait_for_objects(
                 prefix, after, limit, watch_s
             )
-        return JSONResponse(_encode_page(objects))
+        return Response(
+            msgspec.json.encode(_build_page(objects)),
+            media_type='application/json',
+        )
 
     async def meter(self, request: Request) -> Response:
         """Respond with the call counters since the start."""
@@ -213,7 +216,8 @@
         ) from exc
 
 
-def _encode_page(objects: Objects) -> dict[str, Any]:
+def _build_page(objects: Objects) -> dict[str, Any]:
+    """Return a page; values are encoded as base64."""
     entries: list[dict[str, Any]] = []
     size = 0
     for stored in objects:
@@ -224,7 +228,7 @@
             {
                 'key': stored.key,
                 'version': stored.version,
-                'value': base64.b64encode(stored.value).decode(),
+                'value': stored.value,
             }
         )
     return {'objects': entries, 'more': len(entries) < len(objects)}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,11 @@
 import pytest
 
 from ibismount.errors import ErrorCode
-from ibismount.object_store import PlatformError, make_platform
+from ibismount.object_store import (
+    MAX_RESPONSE_BYTES,
+    PlatformError,
+    make_platform,
+)
 from standins.platform import ObjectStore, make_app, serve
 
 TOKEN = 'secret'
@@ -158,3 +162,46 @@
         assert len(await client.list('big/')) == 9
 
     run_with_server(scenario)
+
+
+# The server of the test below stops here, so that a client without a bound fails.
+MAX_SENT_BYTES = 100_000_000
+
+
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [
+        (b'HTTP/1.1 200 OK\r\nx-version: 1\r\n\r\n', b'v' * 65536),
+        (b'HTTP/1.1 200 OK\r\nx-a: ', b'v' * 65536),
+        (b'HTTP/1.1 500 E\r\n\r\n', b'v' * 65536),
+    ],
+)
+def test_endless_response_is_bounded(start, piece):
+    """Bytes without end from the store filled the memory until the timeout."""
+    sent_bytes = 0
+
+    async def send_without_end(stream):
+        nonlocal sent_bytes
+        async with stream:
+            await stream.receive()
+            try:
+                await stream.send(start)
+                while sent_bytes < MAX_SENT_BYTES:
+                    await stream.send(piece)
+                    sent_bytes += len(piece)
+            except (anyio.BrokenResourceError, OSError):
+                return
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, send_without_end)
+            client = make_platform(f'http://127.0.0.1:{port}', timeout_s=10)
+            with pytest.raises(PlatformError):
+                await client.get('a')
+            await client.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert sent_bytes < 2 * MAX_RESPONSE_BYTES
