Let restarted nodes without seeds read the store themselves

Cause: after a loss of power of all nodes, the strong nodes, which callers are sent to, started before the seeds had power and waited for them.

Change: a restarted node that has no link 0.1 s after its start, divided by its capacity in cores, watches the store itself. A new process with current links takes no watches over in its first three seconds. The settings say whether the whole fleet starts for the first time, when only seeds read at once.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -185,6 +185,7 @@
             is_seed=any(
                 seed.startswith(f'{own.id}:') for seed in cfg.node.seeds
             ),
+            first_start=cfg.node.first_start,
         )
         self._advertised: list[Member] = []
         self._share_calculator = NodeShareCalculator(loop.time())
--- a/ibismount/edge_settings.py
+++ b/ibismount/edge_settings.py
@@ -36,6 +36,8 @@
     # as a multiple of one core.
     cpu_share: float = 1
     cpu_cores: float = 1
+    # Whether the whole fleet starts for the first time: no caller waits yet.
+    first_start: bool = False
 
     @property
     def capacity(self) -> float:
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -66,6 +66,8 @@
     """Times in seconds, and limits."""
 
     tick_interval_s: float = 0.1
+    # The same for a node that can't serve yet, so that it loses no time.
+    startup_tick_interval_s: float = 0.02
     heartbeat_interval_s: float = 0.4
     # A link is stale when its newest heartbeat is older than this.
     max_heartbeat_age_s: float = 1.0
@@ -273,6 +275,7 @@
         rng: Source of randomness.
         traffic: Counts the bytes sent to other nodes.
         is_seed: Whether the settings of other nodes name this node as a seed.
+        first_start: Whether the whole fleet starts for the first time.
         options: Times and limits.
     """
 
@@ -286,6 +289,7 @@
         rng: random.Random,
         traffic: ZoneTraffic,
         is_seed: bool = False,
+        first_start: bool = False,
         options: PeerOptions = _DEFAULT_OPTIONS,
     ) -> None:
         """Start with only the seeds as known nodes."""
@@ -302,7 +306,10 @@
         )
         self._membership.add_seeds(seeds)
         self._election = SourceElection(
-            own_member.id, self._started_at, is_seed=is_seed
+            own_member.id,
+            self._started_at,
+            is_seed=is_seed,
+            restart_capacity=0 if first_start else own_member.capacity,
         )
         self._links: dict[str, _UpstreamLink] = {}
         self._connecting: dict[str, asyncio.Task] = {}
@@ -458,7 +465,11 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await asyncio.sleep(self._options.tick_interval_s)
+            await asyncio.sleep(
+                self._options.tick_interval_s
+                if self._fleet.ready
+                else self._options.startup_tick_interval_s
+            )
             self._tick(self._now())
 
     def _tick(self, now: float) -> None:
@@ -477,7 +488,10 @@
             self._is_current(now, link) for link in self._links.values()
         )
         should_watch = self._election.should_watch_store(
-            now, live_capacities, current_links=current_links
+            now,
+            live_capacities,
+            current_links=current_links,
+            alone=self._is_alone(),
         )
         if should_watch and not self._feed.running:
             log.info(
@@ -496,6 +510,12 @@
             self._next_heartbeat_at = now + self._options.heartbeat_interval_s
             self._send_heartbeats()
 
+    def _is_alone(self) -> bool:
+        """Return whether this node has no view and nobody to get it from."""
+        return not self._fleet.ready and all(
+            link.closed for link in self._links.values()
+        )
+
     def _is_current(self, now: float, link: _UpstreamLink) -> bool:
         if link.closed or link.heartbeat is None or not link.heartbeat.current:
             return False
--- a/ibismount/source_election.py
+++ b/ibismount/source_election.py
@@ -22,6 +22,13 @@
     # Wait after the start of a process, until its peers have answered: before
     # that, every node ranks itself first.
     startup_delay_s: float = 0.7
+    # Wait of a restarted node with one core until it watches the store, if it
+    # has no link by then: all nodes may have lost power. A node with more
+    # capacity waits less, since callers are sent to such nodes.
+    restart_delay_s: float = 0.1
+    # A new process with current links takes no watches over before this time:
+    # it does not know yet which nodes rank before it.
+    settle_s: float = 3.0
     # Time without a current link before the next node takes over. A change
     # must be in force within 3 s, even if both sources are cut off just before
     # it: their heartbeats report this after about 1.8 s.
@@ -64,6 +71,8 @@
         started_at: Start of the process, in seconds.
         options: Limits and times.
         is_seed: Whether the settings of other nodes name this node as a seed.
+        restart_capacity: Capacity of this node in cores if the fleet has run
+            before; 0 when the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -73,13 +82,19 @@
         options: SourceElectionOptions = _DEFAULT_OPTIONS,
         *,
         is_seed: bool = False,
+        restart_capacity: float = 0,
     ) -> None:
         """Start as a node that does not watch the store."""
         self._node_id = node_id
         self._options = options
+        self._is_seed = is_seed
         self._startup_ends_at = started_at + options.startup_delay_s
-        # All nodes link to the seeds first, so seeds must not wait.
-        self._may_watch_from = started_at if is_seed else self._startup_ends_at
+        self._settled_at = started_at + options.settle_s
+        self._watch_alone_from = (
+            started_at + options.restart_delay_s / restart_capacity
+            if restart_capacity
+            else self._startup_ends_at
+        )
         self._last_current_at = started_at
         self._last_stale_at = started_at
 
@@ -134,7 +149,12 @@
         return relay[0] if relay and relay[0] != self._node_id else None
 
     def should_watch_store(
-        self, now: float, capacities: Mapping[str, float], *, current_links: int
+        self,
+        now: float,
+        capacities: Mapping[str, float],
+        *,
+        current_links: int,
+        alone: bool = False,
     ) -> bool:
         """Return whether this node has to watch the store now.
 
@@ -143,13 +163,17 @@
             capacities: Capacities of the live nodes by id, this node included.
             current_links: Number of links whose peer is up to date with the
                 store.
+            alone: This node can't serve yet and has no link.
         """
         if current_links:
             self._last_current_at = now
         else:
             self._last_stale_at = now
         if now < self._startup_ends_at:
-            return now >= self._may_watch_from
+            # All nodes link to the seeds first, so seeds must not wait.
+            return self._is_seed or (alone and now >= self._watch_alone_from)
+        if current_links and now < self._settled_at and not self._is_seed:
+            return False
         ranked = rank_nodes(capacities)
         if self._node_id not in ranked:
             # A leaving node is no longer among the live nodes.
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -69,7 +69,11 @@
 def test_template_of_the_deployment_fills_every_section():
     """A misspelled field in the template would stop every node."""
     text = (ROOT / 'deploy' / 'settings.yaml.tmpl').read_text()
-    samples = {'internal-port-range': '[1, 2]', 'seed-nodes': '["a:1"]'}
+    samples = {
+        'internal-port-range': '[1, 2]',
+        'seed-nodes': '["a:1"]',
+        'bootstrap': 'true',
+    }
 
     def fill(placeholder):
         name = placeholder.group(1)
@@ -81,6 +85,7 @@
         json.loads(re.sub(r'\{\{([^|}]+)\|json\}\}', fill, text))
     )
     assert cfg.node.name == 'x'
+    assert cfg.node.first_start
 
 
 def test_deployed_packages_are_in_the_lock_file():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -84,7 +84,7 @@
             await self._start_node(name)
         await asyncio.sleep(3)
 
-    async def _start_node(self, name, *, confirmed=True):
+    async def _start_node(self, name, *, confirmed=True, first_start=True):
         loop = asyncio.get_running_loop()
         member = self.members[name]
         traffic = ZoneTraffic(member.availability_zone)
@@ -101,6 +101,7 @@
             feed=FakeFeed(),
             rng=random.Random(name),
             traffic=traffic,
+            first_start=first_start,
         )
         self.views[name] = view
         self.peers[name] = peers
@@ -348,6 +349,35 @@
     run_test(main)
 
 
+@pytest.mark.parametrize('first_start', [True, False])
+def test_restarted_node_reads_the_store_without_its_seeds(first_start):
+    """Strong nodes waited 0.45 s for seeds that had no power yet.
+
+    When the whole fleet starts for the first time, no caller waits.
+    """
+
+    async def main(fleet):
+        await fleet._start_node('c2', confirmed=False, first_start=first_start)
+        await asyncio.sleep(0.3)
+        assert fleet.peers['c2']._feed.running is not first_start
+
+    run_test(main)
+
+
+def test_restarted_node_leaves_the_store_to_its_peers():
+    """Every node that watches the store costs money."""
+
+    async def main(fleet):
+        await fleet.start('a0', 'b0')
+        make_old_view(fleet)
+        await fleet._start_node('c2', confirmed=False, first_start=False)
+        await asyncio.sleep(1)
+        assert fleet.views['c2'].ready
+        assert not fleet.peers['c2']._feed.running
+
+    run_test(main)
+
+
 def test_node_that_starts_before_its_seeds_tries_again_soon():
     """Nodes waited 0.65 s for seeds that got power back after 0.1 s.
 
--- a/tests/test_source_election.py
+++ b/tests/test_source_election.py
@@ -46,6 +46,57 @@
     )
 
 
+def test_restarted_node_does_not_wait_for_seeds_without_power():
+    """After a loss of power, strong nodes started before the seeds had power.
+
+    They served 0.45 s after their start, when the first seed had its view.
+    """
+    election = SourceElection(IDS[0], 5, restart_capacity=2)
+    wait_s = OPTIONS.restart_delay_s / 2
+    known = dict.fromkeys(IDS[:3], 1)
+    assert not election.should_watch_store(
+        5 + wait_s / 2, known, current_links=0, alone=True
+    )
+    assert election.should_watch_store(
+        5 + wait_s, known, current_links=0, alone=True
+    )
+
+
+def test_restarted_node_waits_for_a_seed_that_it_reaches():
+    """Every node that watches the store costs money."""
+    election = SourceElection(IDS[0], 5, restart_capacity=2)
+    known = dict.fromkeys(IDS[:3], 1)
+    assert not election.should_watch_store(
+        5.3, known, current_links=0, alone=False
+    )
+
+
+def test_weak_node_leaves_the_store_to_strong_ones_after_a_restart():
+    """Callers are sent to strong nodes, so only these must start early."""
+    known = dict.fromkeys(IDS[:3], 1)
+    watching = [
+        capacity
+        for capacity in (0.3, 0.5, 1, 2, 4)
+        if SourceElection(
+            IDS[0], 5, restart_capacity=capacity
+        ).should_watch_store(5.1, known, current_links=0, alone=True)
+    ]
+    assert watching == [1, 2, 4]
+
+
+def test_new_node_with_current_links_does_not_take_over_at_once():
+    """Nodes that knew few others yet all ranked themselves first.
+
+    After a loss of power on 195 nodes, 13 of them began to watch the store.
+    """
+    election = SourceElection(IDS[0], 5)
+    known = {IDS[0]: 2, IDS[1]: 1}
+    assert not election.should_watch_store(6, known, current_links=2)
+    assert election.should_watch_store(
+        5 + OPTIONS.settle_s, known, current_links=2
+    )
+
+
 def test_node_takes_over_when_its_links_are_stale():
     """Nodes must not use an old view while both sources are cut off."""
     last = rank_nodes(CAPACITIES)[-1]
