Move the links between nodes into a module of their own

Change: view_links.py has the links and what they need of the node that publishes its view, as an abstract base class. The code is moved; only the wait for a subscription became an attribute. Tests of peers, processes and planned stops pass unchanged. Ruled out: a third module for the probes' socket, which is small.

--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -2,26 +2,28 @@
 
 import asyncio
 import dataclasses
-import enum
 import random
-from collections.abc import Callable
 
 from ibismount.change_feed import ChangeFeed
 from ibismount.fleet_state import FleetChange, FleetState, ViewRevisions
-from ibismount.http_client import configure_tcp_socket
 from ibismount.logs import part_logger
 from ibismount.member import Member
 from ibismount.membership import Membership, MembershipOptions
 from ibismount.peer_frames import (
     FeedHeartbeat,
     FrameError,
-    FrameReader,
     decode_probe,
     encode_frame,
     encode_probe,
 )
 from ibismount.probe_messages import Envelope
 from ibismount.source_election import SourceElection
+from ibismount.view_links import (
+    Subscriber,
+    Subscription,
+    UpstreamLink,
+    ViewPublisher,
+)
 from ibismount.zone_traffic import TrafficKind, ZoneTraffic
 
 __all__ = ('PeerOptions', 'Peers')
@@ -99,15 +101,6 @@
 _DEFAULT_OPTIONS = PeerOptions()
 
 
-class Subscription(enum.Enum):
-    """What a node wants on a link, as the byte that it sends."""
-
-    # A snapshot of the view, and then every change.
-    CHANGES = b'c'
-    # Only heartbeats, and the revisions of the view when they change.
-    HEARTBEATS = b'h'
-
-
 class _ProbeSocket(asyncio.DatagramProtocol):
     """UDP socket that sends and receives probes."""
 
@@ -141,130 +134,7 @@
         self._transport.sendto(raw, (host, port))
 
 
-class _Subscriber(asyncio.Protocol):
-    """Link to a peer that receives this node's view, or only heartbeats."""
-
-    def __init__(self, peers: 'Peers') -> None:
-        """Subscribe to the view of ``peers`` once connected."""
-        self._peers = peers
-        self.subscription: Subscription | None = None
-        # Revisions that were last sent while it wants heartbeats.
-        self.sent_revisions: ViewRevisions | None = None
-        self._transport: asyncio.Transport | None = None
-        # IP address of the subscriber, which is also the id of its node.
-        self._host = ''
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Wait for what the subscriber wants."""
-        self._transport = transport
-        self._host = transport.get_extra_info('peername')[0]
-        configure_tcp_socket(transport.get_extra_info('socket'))
-        self._peers.subscribers.add(self)
-        self._timer = asyncio.get_running_loop().call_later(
-            self._peers.subscription_wait_s, self._set_default
-        )
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Remove the subscriber."""
-        self._timer.cancel()
-        self._peers.subscribers.discard(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Change the subscription; close the link on any other data."""
-        try:
-            subscription = Subscription(data[-1:])
-        except ValueError:
-            self._transport.abort()
-            return
-        self._set_subscription(subscription)
-
-    def _set_default(self) -> None:
-        if self.subscription is None:
-            self._set_subscription(Subscription.CHANGES)
-
-    def _set_subscription(self, subscription: Subscription) -> None:
-        if subscription is self.subscription:
-            return
-        self.subscription = subscription
-        self.sent_revisions = None
-        self._peers.start_subscription(self)
-
-    def send(self, raw: bytes, max_unread_bytes: int) -> None:
-        """Send encoded frames, or close the link if its backlog is too long."""
-        if self._transport.get_write_buffer_size() > max_unread_bytes:
-            self._transport.abort()
-        else:
-            self._transport.write(raw)
-            self._peers.count_sent(self._host, len(raw))
-
-
-class _UpstreamLink(asyncio.Protocol):
-    """Link to a peer whose view this node receives."""
-
-    def __init__(
-        self,
-        apply: Callable[[FleetChange], object],
-        on_received: Callable[[], None],
-    ) -> None:
-        """Pass received changes to ``apply``, then call ``on_received``."""
-        self._apply = apply
-        self._on_received = on_received
-        self._reader = FrameReader()
-        self._transport: asyncio.Transport | None = None
-        self.closed = False
-        self.heartbeat: FeedHeartbeat | None = None
-        self.heartbeat_at: float = 0
-        self.revisions = ViewRevisions()
-        self._subscription: Subscription | None = None
-        # Since when this node's view has been behind that of the peer.
-        self.lagging_since: float | None = None
-        # Until when changes are wanted because of such a lag.
-        self.changes_wanted_until: float = 0
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Keep the transport."""
-        self._transport = transport
-        configure_tcp_socket(transport.get_extra_info('socket'))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Mark the link as closed."""
-        self.closed = True
-
-    def data_received(self, data: bytes) -> None:
-        """Apply changes and keep the newest heartbeat."""
-        try:
-            frames = self._reader.feed(data)
-        except FrameError as exc:
-            log.warning(
-                'upstream link closed: invalid frame',
-                extra={'reason': str(exc)},
-            )
-            self.close()
-            return
-        for frame in frames:
-            if isinstance(frame, FeedHeartbeat):
-                self.heartbeat = frame
-                self.heartbeat_at = asyncio.get_running_loop().time()
-            elif isinstance(frame, ViewRevisions):
-                self.revisions = frame
-            else:
-                self._apply(frame)
-        self._on_received()
-
-    def subscribe(self, subscription: Subscription) -> None:
-        """Tell the peer what this node wants, if that changed."""
-        if subscription is not self._subscription:
-            self._subscription = subscription
-            self._transport.write(subscription.value)
-
-    def close(self) -> None:
-        """Close the link."""
-        self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
-
-
-class Peers:
+class Peers(ViewPublisher):
     """Run membership, links and source election for one node.
 
     Args:
@@ -293,6 +163,7 @@
         options: PeerOptions = _DEFAULT_OPTIONS,
     ) -> None:
         """Start with only the seeds as known nodes."""
+        super().__init__(options.subscription_wait_s)
         loop = asyncio.get_running_loop()
         self._own_member = own_member
         self._fleet = fleet
@@ -311,7 +182,7 @@
             is_seed=is_seed,
             restart_capacity=0 if first_start else own_member.capacity,
         )
-        self._links: dict[str, _UpstreamLink] = {}
+        self._links: dict[str, UpstreamLink] = {}
         self._connecting: dict[str, asyncio.Task] = {}
         self._socket = _ProbeSocket(self)
         self._next_heartbeat_at: float = 0
@@ -324,7 +195,6 @@
         # The encoded view, and the ``fleet.change_count`` it was built at.
         self._snapshot = b''
         self._snapshot_change_count = -1
-        self.subscribers: set[_Subscriber] = set()
 
     def add_seeds(self, seeds: list[Member]) -> None:
         """Add nodes to contact."""
@@ -346,7 +216,7 @@
             lambda: self._socket, local_addr=(host, int(port))
         )
         self._server = await loop.create_server(
-            lambda: _Subscriber(self),
+            lambda: Subscriber(self),
             host,
             int(port),
             backlog=SUBSCRIBER_BACKLOG,
@@ -366,11 +236,6 @@
         """Announce to other nodes that this node is shutting down."""
         self._send_probes(self._membership.leave(self._now()))
 
-    @property
-    def subscription_wait_s(self) -> float:
-        """Return how long a subscriber may take to say what it wants."""
-        return self._options.subscription_wait_s
-
     def broadcast_change(self, change: FleetChange) -> None:
         """Send a change to the subscribers that want changes."""
         receivers = [
@@ -383,7 +248,7 @@
             for subscriber in receivers:
                 subscriber.send(raw, self._options.max_unread_bytes)
 
-    def start_subscription(self, subscriber: _Subscriber) -> None:
+    def start_subscription(self, subscriber: Subscriber) -> None:
         """Send what a subscriber needs first."""
         if subscriber.subscription is Subscription.CHANGES:
             self._send_snapshot(subscriber)
@@ -393,7 +258,7 @@
             self._fleet.changed_revisions,
         )
 
-    def _send_snapshot(self, subscriber: _Subscriber) -> None:
+    def _send_snapshot(self, subscriber: Subscriber) -> None:
         if self._snapshot_change_count != self._fleet.change_count:
             # Encode once for all: every node connects to a new source at
             # about the same time.
@@ -402,7 +267,7 @@
         subscriber.send(self._snapshot, self._options.max_unread_bytes)
 
     def _send_heartbeat(
-        self, subscriber: _Subscriber, raw: bytes, revisions: ViewRevisions
+        self, subscriber: Subscriber, raw: bytes, revisions: ViewRevisions
     ) -> None:
         if (
             subscriber.subscription is Subscription.HEARTBEATS
@@ -516,7 +381,7 @@
             link.closed for link in self._links.values()
         )
 
-    def _is_current(self, now: float, link: _UpstreamLink) -> bool:
+    def _is_current(self, now: float, link: UpstreamLink) -> bool:
         if link.closed or link.heartbeat is None or not link.heartbeat.current:
             return False
         options = self._options
@@ -616,9 +481,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, link = await loop.create_connection(
-                    lambda: _UpstreamLink(
-                        self._fleet.apply, self._confirm_view
-                    ),
+                    lambda: UpstreamLink(self._fleet.apply, self._confirm_view),
                     host,
                     int(port),
                 )
