Send no close header over HTTP/2 while the daemon's API stops

Change: only responses of HTTP/1 get the header. The new test fails for version 2 without the change. Ruled out: switching HTTP/2 off, which callers may use.

--- a/ibismount/api_server.py
+++ b/ibismount/api_server.py
@@ -26,6 +26,8 @@
 # Time that refused callers get to read their response, in seconds.
 LAST_REFUSALS_S = 0.25
 _POLL_S = 0.02
+# Versions of HTTP whose responses may close their connection.
+_VERSIONS_WITH_CLOSE = frozenset(('1.0', '1.1'))
 
 Refuse = Callable[[], Response]
 
@@ -107,8 +109,12 @@
         await _close_listener(listener, endpoint)
 
     async def _handle(self, scope: Any, receive: Any, send: Any) -> None:
+        # HTTP/2 has no such header; its connections end with the server.
+        may_close = scope.get('http_version') in _VERSIONS_WITH_CLOSE
+
         async def send_event(event: Any) -> None:
-            if self._leaving and event['type'] == 'http.response.start':
+            closes = self._leaving and may_close
+            if closes and event['type'] == 'http.response.start':
                 headers = [*event.get('headers', ()), (b'connection', b'close')]
                 event = {**event, 'headers': headers}
             await send(event)
--- a/tests/test_api_server.py
+++ b/tests/test_api_server.py
@@ -108,3 +108,35 @@
             await asyncio.open_connection(*address)
 
     asyncio.run(asyncio.wait_for(main(), 15))
+
+
+@pytest.mark.parametrize(('version', 'closes'), [('1.1', True), ('2', False)])
+def test_responses_close_their_connection_while_the_node_leaves(
+    version, closes
+):
+    """HTTP/2 forbids the header, so callers would reject the response."""
+
+    async def main():
+        server, _ = open_server()
+        server.begin_leaving()
+        events = []
+
+        async def receive():
+            return {'type': 'http.request', 'body': b''}
+
+        async def send(event):
+            events.append(event)
+
+        scope = {
+            'type': 'http',
+            'method': 'GET',
+            'path': '/work',
+            'headers': [],
+            'query_string': b'',
+            'http_version': version,
+        }
+        await server._handle(scope, receive, send)
+        header = (b'connection', b'close')
+        assert (header in events[0]['headers']) is closes
+
+    asyncio.run(main())
