Withhold a relay from callers as soon as it leaves

Cause: found by reading the new links. A leaving node tells eight nodes by probes. The nodes of its own zone take changes from the relay, so when the relay itself left, no link told them; they went on naming it to callers until a probe reached them, while it closes idle connections after 3.2 s.

Change: the leaving node queues its own status, and passes it on over its links at once.

--- a/ibismount/membership.py
+++ b/ibismount/membership.py
@@ -232,6 +232,7 @@
             sequence=self._own_status.sequence + 1,
         )
         self.change_count += 1
+        self._queue.put(self._own_status)
         self._update_live_ids()
         others = sorted(self._live_ids)
         chosen = self._rng.sample(
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -245,9 +245,7 @@
     def leave(self) -> None:
         """Announce to other nodes that this node is shutting down."""
         self._send_probes(self._membership.leave(self._now()))
-        upstream_id = self._upstream_id()
-        if upstream_id is not None:
-            self._send_probes(self._membership.make_pings(upstream_id))
+        self._send_member_updates()
 
     def broadcast_change(self, change: FleetChange) -> None:
         """Send a change to the subscribers that want changes."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,7 +56,7 @@
         self.running = False
 
 
-def make_member(name, host):
+def make_member(name, host, capacity):
     return Member(
         host,
         1,
@@ -64,17 +64,17 @@
         'r',
         f'{host}:7740',
         f'{host}:80',
-        capacity=NODES[name],
+        capacity=capacity,
     )
 
 
 class Fleet:
     """Nodes in three zones, each on a loopback address of its own."""
 
-    def __init__(self):
+    def __init__(self, nodes=NODES):
         self.members = {
-            name: make_member(name, f'{NETWORK}.{next(HOSTS)}')
-            for name in NODES
+            name: make_member(name, f'{NETWORK}.{next(HOSTS)}', capacity)
+            for name, capacity in nodes.items()
         }
         self.views = {}
         self.peers = {}
@@ -82,7 +82,7 @@
 
     async def start(self, *names):
         """Start nodes, and wait until they know each other."""
-        for name in names or NODES:
+        for name in names or self.members:
             await self._start_node(name)
         await asyncio.sleep(3)
 
@@ -434,3 +434,28 @@
     unchanged, changed = asyncio.run(scenario())
     assert unchanged == 0
     assert changed > 0
+
+
+def test_nodes_of_a_zone_withhold_their_relay_as_soon_as_it_leaves():
+    """Callers that are sent to a leaving node find it closed seconds later.
+
+    Its own probes reach eight nodes at once.
+    """
+    weak_nodes = {f'c{number}': 1.0 for number in range(3, 13)}
+
+    async def scenario():
+        fleet = Fleet(NODES | weak_nodes)
+        await fleet.start()
+        relay = fleet.members['c0'].id
+        fleet.peers['c0'].leave()
+        # Far less than the 3.2 s after which it closes idle connections.
+        await asyncio.sleep(0.3)
+        naming = [
+            name
+            for name, peers in fleet.peers.items()
+            if any(member.id == relay for member in peers.unsuspected_members())
+        ]
+        await fleet.stop()
+        return naming
+
+    assert asyncio.run(scenario()) == []
