Tell the upstream again what no link has returned

Cause: on virtual time, 300 nodes: a refutation whose probe to the upstream was lost did not spread within the 1.2 s of a suspicion, and 32 nodes took a node that lived for dead (0.2 % of the probes are lost).

Change: what has not come back over a link 0.4 s later is sent again, until it does or the probes have carried it often enough. docs/PLATFORM.md and docs/PROOFS.md describe the links.

--- a/ibismount/_update_queue.py
+++ b/ibismount/_update_queue.py
@@ -56,6 +56,10 @@
         new, self._new = self._new, {}
         return tuple(new.values())
 
+    def unconfirmed(self) -> tuple[MemberStatus, ...]:
+        """Return all queued updates."""
+        return tuple(self._updates.values())
+
     def discard(self, node_id: str) -> None:
         """Remove the update about a node: all nodes get it another way."""
         self._updates.pop(node_id, None)
--- a/ibismount/member_dissemination.py
+++ b/ibismount/member_dissemination.py
@@ -13,6 +13,10 @@
 
 __all__ = ('MemberDissemination',)
 
+# Time after which the upstream node is told again what did not come back, in
+# seconds: twice the time that it takes through a source and back.
+RESEND_AFTER_S = 0.4
+
 
 class MemberDissemination:
     """Pass updates about nodes up and down the links of one node.
@@ -24,7 +28,7 @@
 
         dissemination = MemberDissemination(membership)
         dissemination.receive(now, change)  # from the upstream node
-        change, probes = dissemination.take_outgoing('10.1.0.7')
+        change, probes = dissemination.take_outgoing(now, '10.1.0.7')
     """
 
     def __init__(self, membership: Membership) -> None:
@@ -32,6 +36,7 @@
         self._membership = membership
         # Updates from links, by node id, that subscribers have not got yet.
         self._from_links: dict[str, MemberStatus] = {}
+        self._resend_at: float = 0
 
     def make_snapshot(self) -> MembersChanged:
         """Return the status of every known node, for a new subscriber."""
@@ -43,11 +48,12 @@
             self._from_links[update.member.id] = update
 
     def take_outgoing(
-        self, upstream_id: str | None
+        self, now: float, upstream_id: str | None
     ) -> tuple[MembersChanged | None, list[Envelope]]:
         """Return what to send to subscribers and to the upstream node.
 
         Args:
+            now: Time in seconds.
             upstream_id: Node that this one takes changes from, if it has any.
 
         Returns:
@@ -58,6 +64,9 @@
         updates = self._from_links
         updates.update((update.member.id, update) for update in found)
         self._from_links = {}
+        if now >= self._resend_at:
+            self._resend_at = now + RESEND_AFTER_S
+            found = self._membership.unconfirmed_updates()
         envelopes = (
             self._membership.make_pings(upstream_id, found)
             if upstream_id and found
--- a/ibismount/membership.py
+++ b/ibismount/membership.py
@@ -170,6 +170,10 @@
         """
         return self._queue.take_new()
 
+    def unconfirmed_updates(self) -> tuple[MemberStatus, ...]:
+        """Return the updates that no link has returned yet."""
+        return self._queue.unconfirmed()
+
     def merge_from_link(
         self, now: float, updates: Iterable[MemberStatus]
     ) -> list[MemberStatus]:
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -493,7 +493,7 @@
     def _send_member_updates(self) -> None:
         """Pass on what this node knows of other nodes since the last call."""
         change, envelopes = self._dissemination.take_outgoing(
-            self._upstream_id()
+            self._now(), self._upstream_id()
         )
         self._send_probes(envelopes)
         if change is None:
--- a/tests/test_member_dissemination.py
+++ b/tests/test_member_dissemination.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ibismount.member import Member
-from ibismount.member_dissemination import MemberDissemination
+from ibismount.member_dissemination import RESEND_AFTER_S, MemberDissemination
 from ibismount.membership import Membership
 from ibismount.peers import PROBE_OPTIONS, PeerOptions, probe_period_s
 from ibismount.probe_messages import (
@@ -23,6 +23,7 @@
 from ibismount.source_election import SourceElection, rank_nodes
 
 TICK_S = 0.1
+NOW = 10
 ZONES = 5
 # Subscribers notice after this time that an upstream sends no heartbeats.
 HEARTBEAT_AGE_S = PeerOptions().max_heartbeat_age_s
@@ -149,7 +150,9 @@
             snapshot = upstream.dissemination.make_snapshot()
             node.dissemination.receive(self.now, snapshot)
             self._send(node.id, membership.make_pings(upstream_id))
-        change, probes = node.dissemination.take_outgoing(node.upstream_id)
+        change, probes = node.dissemination.take_outgoing(
+            self.now, node.upstream_id
+        )
         self._send(node.id, probes)
         if change is not None:
             for subscriber in self.nodes.values():
@@ -212,7 +215,7 @@
     node = Node(members[0], members, rng)
     found = MemberStatus(members[1], 'dead', 0)
     node.membership.receive(1, 'n2', Ack(0, 'n2', (found,)))
-    change, probes = node.dissemination.take_outgoing('n2')
+    change, probes = node.dissemination.take_outgoing(NOW, 'n2')
     assert change == MembersChanged((found,))
     assert found in probes[0].message.updates
 
@@ -225,6 +228,24 @@
     assert found not in probe_updates(4)
 
 
+def test_upstream_is_told_again_until_an_update_comes_back():
+    """A lost refutation would let a node that lives be taken for dead."""
+    rng = random.Random(1)
+    members = [Member(f'n{number}', 1, 'z', 'r', '', '') for number in range(3)]
+    node = Node(members[0], members, rng)
+    found = MemberStatus(members[1], 'suspect', 0)
+    node.membership.receive(NOW, 'n2', Ack(0, 'n2', (found,)))
+    node.dissemination.take_outgoing(NOW, 'n2')
+    assert node.dissemination.take_outgoing(NOW + 0.1, 'n2') == (None, [])
+    later = NOW + RESEND_AFTER_S
+    change, probes = node.dissemination.take_outgoing(later, 'n2')
+    assert change is None
+    assert found in probes[0].message.updates
+    node.dissemination.receive(later, MembersChanged((found,)))
+    later += RESEND_AFTER_S
+    assert node.dissemination.take_outgoing(later, 'n2') == (None, [])
+
+
 def test_update_from_a_link_is_passed_on_once():
     """Two sources that learn from each other do not echo an update forever."""
     rng = random.Random(1)
@@ -232,9 +253,9 @@
     node = Node(members[0], members, rng)
     change = MembersChanged((MemberStatus(members[1], 'dead', 0),))
     node.dissemination.receive(1, change)
-    assert node.dissemination.take_outgoing('n2') == (change, [])
+    assert node.dissemination.take_outgoing(NOW, 'n2') == (change, [])
     node.dissemination.receive(2, change)
-    assert node.dissemination.take_outgoing('n2') == (None, [])
+    assert node.dissemination.take_outgoing(NOW, 'n2') == (None, [])
 
 
 @pytest.mark.parametrize('status', ['dead', 'left'])
@@ -247,7 +268,7 @@
     node.dissemination.receive(
         1, MembersChanged((MemberStatus(former, status, 4),))
     )
-    change, probes = node.dissemination.take_outgoing('n2')
+    change, probes = node.dissemination.take_outgoing(NOW, 'n2')
     (refutation,) = change.updates
     assert (refutation.member, refutation.status) == (members[0], 'alive')
     assert refutation.sequence > 4
