Move the probe socket and the endpoints of the edge into modules of their own

Change: probe_socket holds the times of probes and the socket, edge_endpoints what a node answers to callers, look-ups, readiness checks and scrapes. Behaviour is as before: 93 tests of peers, processes, stop and words pass.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -11,21 +11,17 @@
     find_server_zones,
     select_advertised_nodes,
 )
-from ibismount.caller_connection import (
-    CallerConnection,
-    CallerEndpoint,
-    RawRequest,
-)
 from ibismount.change_feed import ChangeFeed
 from ibismount.cold_rate_limiter import ColdRateLimiter
-from ibismount.edge_dispatch import EdgeDispatch, RequestJob
+from ibismount.edge_dispatch import EdgeDispatch
+from ibismount.edge_endpoints import ServingEndpoint, StatusEndpoint
 from ibismount.edge_logs import configure_edge_logs
 from ibismount.edge_settings import (
     EdgeSettings,
     changed_fields,
     load_settings,
 )
-from ibismount.errors import ErrorCode, FindingsError
+from ibismount.errors import FindingsError
 from ibismount.extra_request_budget import BudgetOptions, ExtraRequestBudget
 from ibismount.fleet_state import FleetChange, FleetState
 from ibismount.listener import Listener, open_listener
@@ -36,17 +32,9 @@
 from ibismount.placement import Placement
 from ibismount.platform.store import StoreClient
 from ibismount.platform.store_reader import PlatformStoreReader
-from ibismount.platform.wire import (
-    READINESS_PATH,
-    RESOLVE_PATH,
-    PlatformWireFormat,
-    encode_addresses,
-    encode_status,
-    encode_text,
-)
-from ibismount.routes import CallerLimits, RouteTable
+from ibismount.platform.wire import PlatformWireFormat
+from ibismount.routes import RouteTable
 from ibismount.server_connection_pool import ServerConnectionPool
-from ibismount.wire_format import Outcome, RequestError, WireFormat
 from ibismount.zone_traffic import ZoneTraffic
 
 __all__ = ('Edge', 'main', 'make_edge')
@@ -54,9 +42,6 @@
 log = part_logger('edge')
 
 MAX_ADDRESSES = 64  # addresses in one answer
-# Time to live of an address list at callers, in seconds: short, so that they soon
-# stop using a node that ended.
-ADDRESS_TTL_S = 1.0
 # Share of the grace period after which a leaving node exits by itself.
 GRACE_SHARE = 0.85
 # Time after which a leaving node closes idle connections, in seconds: by then,
@@ -67,81 +52,6 @@
 LAST_ANSWERS_S = 0.25
 # Time to send the last answers, in seconds.
 FLUSH_S = 0.1
-METRICS_PATH = b'/metrics'
-
-
-class _ServingEndpoint(CallerEndpoint):
-    """Serves requests of callers."""
-
-    def __init__(self, edge: 'Edge') -> None:
-        """Start without connections."""
-        super().__init__()
-        self._edge = edge
-        self._wire: WireFormat = edge.wire
-
-    @property
-    def limits(self) -> CallerLimits:
-        """Return the limits of the configuration in force."""
-        return self._edge.fleet.route_table.limits
-
-    @property
-    def leaving(self) -> bool:
-        """Return whether the node is shutting down."""
-        return self._edge.leaving
-
-    def handle(
-        self, raw: RawRequest, conn: CallerConnection
-    ) -> RequestJob | None:
-        """Dispatch a request."""
-        try:
-            req = self._wire.read_request(
-                raw.method, raw.target, raw.headers, raw.body
-            )
-        except RequestError as exc:
-            conn.answer(self._wire.encode_error(exc.code), last=True)
-            return None
-
-        def send_outcome(outcome: Outcome) -> None:
-            last = conn.closes_after_answer
-            conn.answer(self._wire.encode_outcome(outcome, last=last))
-
-        return self._edge.dispatch.submit(req, send_outcome)
-
-    def encode_error(self, code: ErrorCode) -> bytes:
-        """Encode the error answer to a malformed request."""
-        return self._wire.encode_error(code)
-
-
-class _StatusEndpoint(CallerEndpoint):
-    """Answers readiness checks, address look-ups and metrics scrapes."""
-
-    def __init__(self, edge: 'Edge') -> None:
-        """Start without connections."""
-        super().__init__()
-        self._edge = edge
-
-    @property
-    def limits(self) -> CallerLimits:
-        """Return fixed limits."""
-        return CallerLimits()
-
-    def handle(self, raw: RawRequest, conn: CallerConnection) -> None:
-        """Answer at once."""
-        path = raw.target.partition(b'?')[0]
-        if path == RESOLVE_PATH:
-            addresses = self._edge.addresses()
-            answer = encode_addresses(addresses, ADDRESS_TTL_S)
-            conn.answer(answer if addresses else encode_status(503))
-        elif path == READINESS_PATH:
-            conn.answer(encode_status(200 if self._edge.serving else 503))
-        elif path == METRICS_PATH:
-            conn.answer(encode_text(self._edge.dispatch.metrics.render()))
-        else:
-            conn.answer(encode_status(404))
-
-    def encode_error(self, code: ErrorCode) -> bytes:
-        """Encode the error answer to a malformed request."""
-        return self._edge.wire.encode_error(code)
 
 
 class Edge:
@@ -214,8 +124,8 @@
             cold_limiter=ColdRateLimiter(cfg.node.ip),
             traffic=traffic,
         )
-        self._serving_endpoint = _ServingEndpoint(self)
-        self._status_endpoint = _StatusEndpoint(self)
+        self._serving_endpoint = ServingEndpoint(self)
+        self._status_endpoint = StatusEndpoint(self)
         self._listeners: list[Listener] = []
         self._stopped = asyncio.Event()
 
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -9,16 +9,19 @@
 from ibismount.logs import part_logger
 from ibismount.member import Member
 from ibismount.member_dissemination import MemberDissemination
-from ibismount.membership import Membership, MembershipOptions
+from ibismount.membership import Membership
 from ibismount.node_ranking import NodeRanking
 from ibismount.peer_frames import (
     FeedHeartbeat,
-    FrameError,
-    decode_probe,
     encode_frame,
     encode_probe,
 )
-from ibismount.probe_messages import Envelope, MembersChanged
+from ibismount.probe_messages import (
+    Envelope,
+    MembersChanged,
+    ProbeMessage,
+)
+from ibismount.probe_socket import PROBE_OPTIONS, ProbeSocket, probe_period_s
 from ibismount.source_election import SourceElection
 from ibismount.view_links import (
     Subscriber,
@@ -32,38 +35,10 @@
 
 log = part_logger('peers')
 
-# Short timeouts: a suspected node is merely withheld from callers, so a false
-# suspicion costs little.
-PROBE_OPTIONS = MembershipOptions(
-    period_s=0.4,
-    probe_timeout_s=0.12,
-    suspicion_timeout_s=1.2,
-    pause_threshold_s=0.6,
-    periods_per_dead_probe=3,
-    forget_after_s=600,
-)
-
-
 # Connections not yet accepted: after a loss of power all nodes link to the same
 # two sources at once, and a link that does not fit is tried again much later.
 SUBSCRIBER_BACKLOG = 2048
 
-# Above this number of nodes the probe period grows with the fleet, up to the
-# maximum: more nodes then probe each node, and the traffic of all probes costs
-# money.
-BASE_PERIOD_NODES = 30
-MAX_PROBE_PERIOD_S = 1.2
-
-
-def probe_period_s(nodes: int) -> float:
-    """Return the time between two probes that a node sends, in seconds.
-
-    Args:
-        nodes: Number of live nodes.
-    """
-    period_s = PROBE_OPTIONS.period_s * max(1, nodes / BASE_PERIOD_NODES)
-    return round(min(MAX_PROBE_PERIOD_S, period_s), 1)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerOptions:
@@ -103,39 +78,6 @@
 _DEFAULT_OPTIONS = PeerOptions()
 
 
-class _ProbeSocket(asyncio.DatagramProtocol):
-    """UDP socket that sends and receives probes."""
-
-    def __init__(self, peers: 'Peers') -> None:
-        """Pass received probes to ``peers``."""
-        self._peers = peers
-        self._transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a probe; ignore invalid datagrams, which anyone can send."""
-        try:
-            sender, message = decode_probe(data)
-        except FrameError as exc:
-            log.warning(
-                'datagram ignored: not a valid probe',
-                extra={'peer': addr[0], 'reason': str(exc)},
-            )
-            return
-        self._peers.probe_received(sender, message)
-
-    def error_received(self, exc: OSError) -> None:
-        """Log a refused datagram; the probe then times out."""
-        log.debug('probe refused by the peer host', extra={'reason': str(exc)})
-
-    def send(self, host: str, port: int, raw: bytes) -> None:
-        """Send one datagram."""
-        self._transport.sendto(raw, (host, port))
-
-
 class Peers(ViewPublisher):
     """Run membership, links and source election for one node.
 
@@ -190,7 +132,7 @@
         )
         self._links: dict[str, UpstreamLink] = {}
         self._connecting: dict[str, asyncio.Task] = {}
-        self._socket = _ProbeSocket(self)
+        self._socket = ProbeSocket(self._receive_probe)
         self._next_heartbeat_at: float = 0
         self._last_informed_at = self._started_at
         # Since when the fleet's view could serve but for its confirmation.
@@ -336,7 +278,7 @@
             'after_s': round(now - self._started_at, 3),
         }
 
-    def probe_received(self, sender: str, message: object) -> None:
+    def _receive_probe(self, sender: str, message: ProbeMessage) -> None:
         """Handle a probe message and send the answers."""
         self._send_probes(
             self._membership.receive(self._now(), sender, message)
--- a/tests/test_member_dissemination.py
+++ b/tests/test_member_dissemination.py
@@ -13,13 +13,14 @@
 from ibismount.member import Member
 from ibismount.member_dissemination import RESEND_AFTER_S, MemberDissemination
 from ibismount.membership import Membership
-from ibismount.peers import PROBE_OPTIONS, PeerOptions, probe_period_s
+from ibismount.peers import PeerOptions
 from ibismount.probe_messages import (
     Ack,
     MembersChanged,
     MemberStatus,
     Ping,
 )
+from ibismount.probe_socket import PROBE_OPTIONS, probe_period_s
 from ibismount.source_election import SourceElection, rank_nodes
 
 TICK_S = 0.1
