Forget failures of a server within seconds

On virtual time one lost answer keeps a server's work in other zones for 14 s: its failures lose half of their weight in 6 s, as its latencies do.

Change: failures lose half of their weight in 2 s. A failed attempt is known at once and repeated on another server, so trying again is cheap. Latencies keep their 6 s: a request to a server that is still slow makes its search late.

Ruled out: a shorter time for latencies. It would save more, but the test of how often slow servers are tried fails with it, and that load still holds.

--- a/ibismount/server_health.py
+++ b/ibismount/server_health.py
@@ -12,9 +12,14 @@
 
     # Weight of one observation in the exponential moving averages.
     gain: float = 0.35
-    # Time in which past observations lose half their weight, so that a server
-    # that got no requests is tried again.
+    # Time in which past latencies lose half their weight, so that a server that
+    # got no requests is tried again. A request to a server that is still slow
+    # makes its search late.
     half_life_s: float = 6.0
+    # The same for failures: a failed attempt is known at once and repeated
+    # elsewhere, while a server that is avoided for long moves its work to other
+    # zones.
+    failure_half_life_s: float = 2.0
     # Shortest and longest ejection after a lost connection; each further loss
     # doubles it.
     ejection_s: float = 0.5
@@ -171,10 +176,13 @@
         elapsed_s = now - self._decayed_at
         if elapsed_s <= MIN_DECAY_STEP_S:
             return
-        kept_share = math.exp2(-elapsed_s / self._options.half_life_s)
+        options = self._options
+        kept_share = math.exp2(-elapsed_s / options.half_life_s)
         self._decayed_at = now
         self._latency_ratio = 1 + (self._latency_ratio - 1) * kept_share
-        self._failure_rate *= kept_share
+        self._failure_rate *= math.exp2(
+            -elapsed_s / options.failure_half_life_s
+        )
 
 
 def make_health(options: HealthOptions = _DEFAULTS) -> ServerHealth:
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -173,3 +173,46 @@
     placement, candidates = make_placement(), make_servers()
     placement.health(candidates[0]).in_flight = 3
     assert best_server(placement, 0, candidates) != 'i-0'
+
+
+def test_work_is_back_in_the_own_zone_soon_after_failures_end():
+    """One lost answer kept a server's work in other zones for 14 seconds.
+
+    A server of the own zone loses two fifths of its answers for 4 s. The nodes
+    have to catch up within 6 s (the sites' ``catch-up-s``).
+    """
+    spell_s, catch_up_s, picks_per_s = 4, 6, 13
+    placement, candidates = make_placement(), make_servers()
+    rng = random.Random(7)
+    chosen = []
+    for pick in range(20 * picks_per_s):
+        now = pick / picks_per_s
+        server = placement.rank(now, candidates)[0]
+        fails = server.id == 'i-0' and now < spell_s and rng.random() < 0.4
+        if fails:
+            placement.health(server).record_connection_loss(now)
+        else:
+            ratio = rng.lognormvariate(-0.06, 0.35)
+            placement.health(server).record_answer(now, ratio)
+        if now >= spell_s + catch_up_s:
+            chosen.append(server.id)
+    assert chosen.count('i-0') / len(chosen) > 0.75
+
+
+def test_failing_server_gets_few_requests_while_it_fails():
+    """A failed attempt costs its caller the time of another one.
+
+    Searches may lack a twentieth of their parts (the sites' least share).
+    """
+    placement, candidates = make_placement(), make_servers()
+    rng = random.Random(7)
+    failures, picks = 0, 20 * 13
+    for pick in range(picks):
+        now = pick / 13
+        server = placement.rank(now, candidates)[0]
+        if server.id == 'i-0' and rng.random() < 0.4:
+            failures += 1
+            placement.health(server).record_connection_loss(now)
+        else:
+            placement.health(server).record_answer(now, 1)
+    assert 0 < failures < picks / 20
