Look only at what changed when an answer arrives

Idle nodes spent most of their time in the event loop: each tick of the peers woke it twice.

Change: the tracker keeps a list of the parts that have no further attempt and counts only these; the next time to act is looked for only when something was added. Ticks are timers instead of a task that sleeps. test_part_tracker calls the new method where it set the field, with the same checks.

--- a/ibismount/part_tracker.py
+++ b/ibismount/part_tracker.py
@@ -69,7 +69,7 @@
     # Attempts that ran or may have run.
     runs: int = 0
     answered: bool = False
-    # No further attempt is possible.
+    # No further attempt is possible; set by `PartTracker.exhaust`.
     exhausted: bool = False
     next_hedge_at: float = math.inf
 
@@ -96,6 +96,9 @@
         self.plan = plan
         self.parts = [Part(service) for service in plan.services]
         self.answered_count = 0
+        # Parts without a further attempt. Decisions are made at each answer, so
+        # they look at these alone instead of at all parts.
+        self._exhausted: list[Part] = []
 
     @property
     def may_have_run(self) -> bool:
@@ -124,6 +127,12 @@
         self.answered_count += 1
         return True
 
+    def exhaust(self, part: Part) -> None:
+        """Note that no further attempt of a part is possible."""
+        if not part.exhausted:
+            part.exhausted = True
+            self._exhausted.append(part)
+
     def record_not_run(self, attempt: Attempt) -> None:
         """Record an attempt that the server certainly did not run."""
         attempt.open = False
@@ -151,7 +160,7 @@
         if self.answered_count == part_count:
             return Decision.ANSWER
         enough = self.answered_count >= self.plan.min_parts
-        unanswerable_count = sum(part.unanswerable for part in self.parts)
+        unanswerable_count = sum(part.unanswerable for part in self._exhausted)
         if enough and (
             now >= self.plan.answer_at
             or self.answered_count + unanswerable_count == part_count
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -173,8 +173,7 @@
             int(port),
             backlog=SUBSCRIBER_BACKLOG,
         )
-        self._tick(self._now())
-        self._tick_task = loop.create_task(self._run_ticks())
+        self._run_tick()
 
     def set_api_address(self, api_address: str) -> None:
         """Announce the address for callers; empty when this node takes none."""
@@ -284,14 +283,18 @@
             self._membership.receive(self._now(), sender, message)
         )
 
-    async def _run_ticks(self) -> None:
-        while True:
-            await asyncio.sleep(
-                self._options.tick_interval_s
-                if self._fleet.ready
-                else self._options.startup_tick_interval_s
-            )
-            self._tick(self._now())
+    def _run_tick(self) -> None:
+        """Do the periodic work, and schedule it again."""
+        options = self._options
+        interval_s = (
+            options.tick_interval_s
+            if self._fleet.ready
+            else options.startup_tick_interval_s
+        )
+        self._tick_timer = asyncio.get_running_loop().call_later(
+            interval_s, self._run_tick
+        )
+        self._tick(self._now())
 
     def _tick(self, now: float) -> None:
         self._send_probes(self._membership.tick(now))
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -131,6 +131,8 @@
         self._last_failure: ServerAnswer | None = None
         self._rejections = 0
         self._timer: asyncio.TimerHandle | None = None
+        # Nothing was added since the timer was set that is due before it.
+        self._timer_is_current = False
         # Parts that wait in a queue for their first attempt.
         self._waiters: dict[Part, Waiter] = {}
         # Parts whose next attempt is tried again soon, and whether it spends
@@ -158,9 +160,10 @@
         parts = self.tracker.parts
         for part in parts:
             if not self._dispatch.has_server(part):
-                part.exhausted = True
+                self.tracker.exhaust(part)
             elif not self._dispatch.can_meet_deadline(self, part):
-                part.exhausted = self._deadline_unreachable = True
+                self._deadline_unreachable = True
+                self.tracker.exhaust(part)
         if self.tracker.decide(self.started_at) is Decision.WAIT:
             for part in parts:
                 if not part.exhausted:
@@ -226,7 +229,7 @@
             if self._rejections > dispatch.options.max_rejections * len(
                 tracker.parts
             ):
-                attempt.part.exhausted = True
+                tracker.exhaust(attempt.part)
             self._retry(attempt.part)
         self._apply_decision()
         return True
@@ -252,7 +255,7 @@
         if part.open and part.runs >= self.tracker.plan.max_runs:
             return
         if not self.tracker.may_send(part):
-            part.exhausted = True
+            self.tracker.exhaust(part)
             return
         self._try_send(part, extra=may_have_arrived)
 
@@ -293,7 +296,7 @@
 
     def _give_up(self, part: Part) -> None:
         self._leave_queue(part)
-        part.exhausted = True
+        self.tracker.exhaust(part)
 
     def _would_overtake(self, part: Part) -> bool:
         """Return whether queued parts must be served before this one."""
@@ -306,6 +309,7 @@
         """Queue or retry a part while an answer can still be in time."""
         if part.tried:
             self._pending_retries[part] = extra
+            self._timer_is_current = False
         elif self._dispatch.now() >= self.latest_send_at():
             self._deadline_unreachable = True
             self._give_up(part)
@@ -315,6 +319,7 @@
                 self.route.priority,
                 lambda: self._resume(part),
             )
+            self._timer_is_current = False
 
     def _resume(self, part: Part) -> None:
         if part in self._waiters and not self.ended:
@@ -331,8 +336,9 @@
         wait_s = self.route.target_s * self._dispatch.options.budget_wait_share
         if self._dispatch.now() < self.started_at + wait_s:
             self._pending_retries[part] = True
+            self._timer_is_current = False
         else:
-            part.exhausted = True
+            self.tracker.exhaust(part)
 
     def _try_send_to(self, part: Part, server: Server) -> bool:
         dispatch = self._dispatch
@@ -349,6 +355,7 @@
             dispatch.release(server)
             return False
         call.attempt = self.tracker.record_send(part, server.id, dispatch.now())
+        self._timer_is_current = False
         self._open_calls.add(call)
         call.health = dispatch.begin_attempt(server)
         return True
@@ -371,6 +378,9 @@
             self._schedule_timer(now)
 
     def _schedule_timer(self, now: float) -> None:
+        if self._timer is not None and self._timer_is_current:
+            return
+        self._timer_is_current = True
         check_at = self.tracker.next_decision_at(now)
         options = self._dispatch.options
         if self._waiters:
--- a/tests/test_part_tracker.py
+++ b/tests/test_part_tracker.py
@@ -70,7 +70,7 @@
     attempts = send_all(tracker)
     for attempt in attempts[:2]:
         tracker.record_failure(attempt)
-        attempt.part.exhausted = True
+        tracker.exhaust(attempt.part)
     assert tracker.decide(0.01) is Decision.FAIL
 
 
@@ -153,7 +153,7 @@
                 open_attempts[part.service].append(started)
                 run_counts[part.service] += 1
         elif event == 'exhaust':
-            part.exhausted = True
+            tracker.exhaust(part)
         elif open_attempts[part.service]:
             attempt = open_attempts[part.service].pop()
             if event == 'answer':
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -118,7 +118,7 @@
 
     async def stop(self):
         for peers in self.peers.values():
-            peers._tick_task.cancel()
+            peers._tick_timer.cancel()
             peers._server.close()
             peers._socket._transport.close()
             for link in peers._links.values():
