Review case 5: SIGHUP ends a process that starts

Cause: the handler of SIGHUP is installed when the event loop runs; until then the signal has its default action. Nothing is fixed.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -279,13 +279,12 @@
 class Fleet:
     """The store, servers and edge processes of one case."""
 
-    def __init__(self, record, *, zones=ZONES):
+    def __init__(self, record, *, nodes=3):
         self.record = record
         self.store = Store()
         self.servers = []
-        self.zones = zones
         self.processes = {}
-        self.ips = [f'{PREFIX}.{10 + number}' for number in range(len(zones))]
+        self.ips = [f'{PREFIX}.{10 + number}' for number in range(nodes)]
         self._listeners = []
         self._writers = set()
         self._folder = tempfile.TemporaryDirectory()
@@ -314,7 +313,7 @@
         """Start all parts; services is a list of names."""
         self.store_port = await self.listen(self.store.serve)
         for service in services:
-            for zone, _ in itertools.product(self.zones, range(per_zone)):
+            for zone, _ in itertools.product(ZONES, range(per_zone)):
                 name = f'i-{len(self.servers):04x}'
                 server = Server(name, service, zone, self.record)
                 server.port = await self.listen(server.serve)
@@ -364,9 +363,10 @@
 
     def _settings(self, ip, bootstrap):
         peer, callers, readiness, directory, control = self.ports
-        zone = self.zones[self.ips.index(ip)]
+        number = self.ips.index(ip)
+        zone = ZONES[number % len(ZONES)]
         return {
-            'node-name': f'frontend-{zone}-1',
+            'node-name': f'frontend-{zone}-{number // len(ZONES) + 1}',
             'ip': ip,
             'zone': zone,
             'region': REGION,
@@ -529,14 +529,17 @@
     }
 
 
-def main(run, folder):
+def main(run, folder, *, nodes=3):
     """Run a case; exit with 0 if the rule held, 1 if not, 2 if it can't run."""
     record = Record(pathlib.Path(folder) / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # A caller such as nohup leaves the signal ignored, also in processes that
+    # are started from here.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     record(f'TROUBLE={int(trouble)}')
 
     async def guarded():
-        fleet = Fleet(record)
+        fleet = Fleet(record, nodes=nodes)
         try:
             async with asyncio.timeout(110):
                 return await run(fleet, record, trouble)
