--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,77 +1,85 @@
-"""A planned stop cuts off requests that the node has read."""
+"""A lost answer to a watch stays unnoticed if another kind changes then."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib'))
 
-from fleet import BOUNDS, Consumer, encode_request, main, route  # noqa: E402
+from fleet import BOUNDS, ask, main, route  # noqa: E402
 
-CONNECTIONS = 5
-SLACK_S = BOUNDS['loss-slack-ms'] / 1000
+REQUESTS = 60
+CONTACT_S = BOUNDS['contact-ms'] / 1000
+APPLY_S = BOUNDS['config-apply-ms'] / 1000
+# How long the store loses answers.
+LOSS_S = 1.0
+SERVICES = ['quote-builder', 'crew-rota']
 
 
-async def send_pair(fleet, record, ip):
-    """Send two requests on one connection; return whether one was lost."""
-    conn = await Consumer.connect(ip, fleet.ports[1])
-    ids = [fleet.next_id() for _ in range(2)]
-    conn.send_raw(encode_request(ids[0], '/quotes/700/x'))
-    await asyncio.sleep(0.05)
-    conn.send_raw(encode_request(ids[1], '/quotes/100/x'))
-    sent_at = time.monotonic()
-    record(f'consumer has sent {ids[0]} and {ids[1]} to {ip}')
-    for request_id in ids:
-        try:
-            async with asyncio.timeout(4):
-                status, headers, _ = await conn.read()
-        except asyncio.IncompleteReadError:
-            # The end without a reset shows that the node had read all bytes.
-            age_s = time.monotonic() - sent_at
-            record(
-                f'consumer got no answer to {request_id}: the connection ended '
-                f'{age_s:.3f} s after its last byte was sent'
-            )
-            conn.close()
-            return age_s > SLACK_S
+def routes(service, timeout_ms):
+    quotes = route('quotes', '/quotes/', service)
+    return [{**quotes, 'timeout-ms': timeout_ms}]
+
+
+async def run(fleet, record, trouble):
+    store = fleet.store
+    await fleet.start(routes('quote-builder', 4000), SERVICES)
+    latest = fleet.servers.pop()
+    await store.delete('servers', latest.id)
+    await asyncio.sleep(6)
+
+    async def configure(version, service, timeout_ms):
+        config = fleet.config(version, routes(service, timeout_ms), SERVICES)
+        acked_at = await store.put('config', 'main', config)
         record(
-            f'consumer got {status} to {request_id}, connection: '
-            f'{headers.get("connection", "kept")}'
+            f'version {version}: quotes are served by {service}, acknowledged'
         )
-    conn.close()
-    return False
+        return acked_at
 
+    await configure(2, 'quote-builder', 4001)
+    await asyncio.sleep(4)
 
-async def run(fleet, record, trouble):
-    await fleet.start(
-        [route('quotes', '/quotes/', 'quote-builder')],
-        ['quote-builder'],
-        per_zone=2,
-    )
-    lost = 0
-    for ip in fleet.ips:
-        pairs = [
-            asyncio.create_task(send_pair(fleet, record, ip))
-            for _ in range(CONNECTIONS)
-        ]
-        await asyncio.sleep(0.2)
-        if trouble:
-            fleet.signal(ip, signal.SIGTERM)
-        lost += sum(await asyncio.gather(*pairs))
-        if trouble:
-            async with asyncio.timeout(8):
-                await fleet.processes[ip].wait()
-            record(f'edge {ip} has ended')
-            await fleet.start_edge(ip)
-            await fleet.wait_ready(ip, 10)
-            await asyncio.sleep(1)
+    if trouble:
+        # Some answers of the store are lost: those with the new version.
+        store.loses_answer = lambda target: (
+            'watch=' in target and target.startswith('/objects/config')
+        )
+        record('the store begins to lose answers to watches of the manifest')
+    acked_at = await configure(3, 'crew-rota', 4001)
+    await asyncio.sleep(0.3)
+    fleet.servers.append(latest)
+    await store.put('servers', latest.id, latest.entry())
+    record(f'server {latest.id} of {latest.service} registers')
+    await asyncio.sleep(acked_at + LOSS_S - time.monotonic())
+    store.loses_answer = lambda target: False
+    loss_ended_at = time.monotonic()
+    if trouble:
+        record('the store loses no more answers')
+        answered = sum(at > loss_ended_at - 4.5 for at in store.answer_times)
+        record.say(
+            f'answers of the store in the last 4.5 s: {len(store.lost_times)} '
+            f'lost, {answered} sent'
+        )
+
+    begin_at = max(loss_ended_at + CONTACT_S, acked_at + APPLY_S) + 0.5
+    await asyncio.sleep(begin_at - time.monotonic())
+    stale = 0
+    for number in range(REQUESTS):
+        ip = fleet.ips[number % len(fleet.ips)]
+        request_id, status = await ask(fleet, ip, '/quotes/10/x')
+        stale += any(
+            request_id in server.runs
+            for server in fleet.servers
+            if server.service == 'quote-builder'
+        )
+        await asyncio.sleep(0.05)
     record.say(
-        f'{lost} of {2 * CONNECTIONS * len(fleet.ips)} requests were read and '
-        'not answered'
+        f'{stale} of {REQUESTS} requests, sent {begin_at - acked_at:.1f} to '
+        f'{time.monotonic() - acked_at:.1f} s after the acknowledgement of '
+        'version 3, were run by the old service'
     )
-    return lost > 0
+    return stale > 0
 
 
 sys.exit(main(run, pathlib.Path(__file__).parent))
