--- a/review/5/case.py
+++ b/review/5/case.py
@@ -82,4 +82,4 @@
     return stale > 0
 
 
-sys.exit(main(run, pathlib.Path(__file__).parent))
+sys.exit(main(run, sys.argv[1]))
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -557,9 +557,9 @@
     }
 
 
-def main(run, folder, *, nodes=3):
+def main(run, record_path, *, nodes=3):
     """Run a case; exit with 0 if the rule held, 1 if not, 2 if it can't run."""
-    record = Record(pathlib.Path(folder) / 'record.txt')
+    record = Record(record_path)
     trouble = os.environ.get('TROUBLE', '1') != '0'
     # A caller such as nohup leaves the signal ignored, also in processes that
     # are started from here.
