Export how far a node has the store's changes of each kind

Change: the metrics hold the revision up to which a node that follows the store has its routes, servers and zones, and the revision that the last probe saw.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -144,6 +144,8 @@
         self._revisions: dict[ResourceKind, int] = {}
         # Highest revision that a list or watch returned.
         self._watched_revision = 0
+        # Highest revision that a probe returned.
+        self._probed_revision = 0
         self._lagging_since: float | None = None
         # How often watches were sent again for the present lag.
         self._resend_count = 0
@@ -164,6 +166,17 @@
         """Return the time of the store's last answer, in seconds of ``now``."""
         return self._last_contact_at
 
+    def gauges(self) -> dict[str, float]:
+        """Return the revisions of the last probe and of each kind by name.
+
+        Those of kinds that are not watched are 0.
+        """
+        revisions = {
+            f'store_revision_{kind.value}': self._revisions.get(kind, 0)
+            for kind in ResourceKind
+        }
+        return {'store_revision_probed': self._probed_revision, **revisions}
+
     def start(self) -> None:
         """Watch every kind of object."""
         loop = asyncio.get_running_loop()
@@ -177,6 +190,7 @@
             self._probe_task.cancel()
         self._stop_watches()
         self._revisions.clear()
+        self._probed_revision = 0
         self._clear_lag()
         self._reachable = False
         self._was_current = False
@@ -238,6 +252,7 @@
                 await asyncio.sleep(self._backoff_s(failures))
             else:
                 failures = 0
+                self._probed_revision = max(self._probed_revision, revision)
                 self._record_contact()
                 self._report_current()
                 self._restart_lagging_watches(revision)
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -137,6 +137,7 @@
             quarantine=quarantine,
             traffic=traffic,
         )
+        self.dispatch.metrics.add_gauges(self.feed.gauges)
         self._serving_endpoint = ServingEndpoint(self)
         self._status_endpoint = StatusEndpoint(self)
         self._listeners: list[Listener] = []
--- a/ibismount/edge_metrics.py
+++ b/ibismount/edge_metrics.py
@@ -44,7 +44,7 @@
         self, gauges: Callable[[], dict[str, float]], traffic: ZoneTraffic
     ) -> None:
         """Start at zero."""
-        self._gauges = gauges
+        self._gauges = [gauges]
         self._traffic = traffic
         self._requests: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -54,6 +54,10 @@
         self._latency_sum_s: float = 0
         self.missing_parts = 0
 
+    def add_gauges(self, gauges: Callable[[], dict[str, float]]) -> None:
+        """Export further gauges; read at each scrape."""
+        self._gauges.append(gauges)
+
     def record_request(self, outcome: str, code: str, latency_s: float) -> None:
         """Count a request by its outcome and error code."""
         self._requests[(outcome, code)] += 1
@@ -110,10 +114,11 @@
             traffic.add_metric(labels, size)
         yield traffic
         yield self._latency_family(core)
-        for name, gauge_value in self._gauges().items():
-            yield core.GaugeMetricFamily(
-                f'ibismount_{name}', 'Current value.', value=gauge_value
-            )
+        for gauges in self._gauges:
+            for name, gauge_value in gauges().items():
+                yield core.GaugeMetricFamily(
+                    f'ibismount_{name}', 'Current value.', value=gauge_value
+                )
 
     def _latency_family(self, core):
         buckets = []
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -255,6 +255,10 @@
         assert samples[('ibismount_request_seconds_count', None)] == 3
         assert samples[('ibismount_version', None)] == 1
         assert samples[('ibismount_attempts_total', None)] == 3 * len(SHARDS)
+        for kind in ('routes', 'servers', 'zones'):
+            name = f'ibismount_store_revision_{kind}'
+            assert samples[(name, None)] >= fleet.store.revision
+        assert ('ibismount_store_revision_probed', None) in samples
 
     run_test(tmp_path, main)
 
