Keep how far the store is known for each kind of object

Cause: the store counts the changes of all kinds with one revision, and the feed compared the highest one that any watch had returned with that of the probe. When the answer to the watch of routes was lost and a server registered next, the watch of servers returned the probe's revision. The lost watch then waited for its own end after 18.5 s, and the node counted as up to date meanwhile. A watch that was sent again and has nothing to report looked the same as one whose answer was lost again, so watches were sent again only after 0.5, 4 and 32 s.

Change: each kind has its own revision. A kind that is behind a probe for half a second is checked with a call that does not wait: it returns the changes, or that there are none. A missing answer to it is noticed, and it is sent again with the next probe; until then the node does not count as up to date.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -65,6 +65,17 @@
             IbismountError: The store did not answer.
         """
 
+    @abc.abstractmethod
+    async def check(
+        self, kind: ResourceKind, revision: int, timeout_s: float
+    ) -> ChangeBatch:
+        """Return the changes after a revision at once, also if there are none.
+
+        Raises:
+            HistoryLost: The store no longer keeps these changes.
+            IbismountError: The store did not answer within ``timeout_s``.
+        """
+
     @abc.abstractmethod
     async def probe(self, timeout_s: float) -> int:
         """Return the store's revision, possibly stale, by a cheap read.
@@ -88,13 +99,11 @@
     # An idle watch looks the same as an unreachable store, so a probe checks.
     probe_interval_s: float = 0.8
     probe_timeout_s: float = 0.6
-    # Watches that lag behind the store for this time are sent again. Must
-    # exceed ``batch_window_s``, during which no watch runs.
+    # A kind whose watch has not answered this long after a probe saw a new
+    # revision is checked. Must exceed ``batch_window_s``, during which no watch
+    # runs.
     max_watch_lag_s: float = 0.5
-    # The next time they are sent again after this multiple of the lag: their
-    # answers can be lost too, but objects that are not watched also raise the
-    # store's revision.
-    lag_backoff_factor: float = 8.0
+    check_timeout_s: float = 0.6
     initial_backoff_s: float = 0.3
     max_backoff_s: float = 2.0
     # Removals this soon after a failed call are delayed: entries that expired
@@ -137,18 +146,19 @@
         self._options = options
         self._on_current = on_current
         self._was_current = False
-        self._watch_tasks: list[asyncio.Task] = []
+        self._watch_tasks: dict[ResourceKind, asyncio.Task] = {}
         self._last_failure_at = -options.removal_delay_window_s
         self._last_contact_at = -options.removal_delay_window_s
-        # Revision up to which the changes of each kind were applied.
+        # Revision from which each kind is watched.
         self._revisions: dict[ResourceKind, int] = {}
-        # Highest revision that a list or watch returned.
-        self._watched_revision = 0
+        # Revision up to which all changes of each kind are known: that of the
+        # newest list, watch or check. The store has one revision for all kinds,
+        # so a newer one does not tell which kind has changed.
+        self._known_revisions: dict[ResourceKind, int] = {}
         # Highest revision that a probe returned.
         self._probed_revision = 0
-        self._lagging_since: float | None = None
-        # How often watches were sent again for the present lag.
-        self._resend_count = 0
+        # Kinds whose last check was not answered.
+        self._unchecked: set[ResourceKind] = set()
         self._reachable = False
 
     @property
@@ -158,8 +168,13 @@
 
     @property
     def current(self) -> bool:
-        """Return whether the store is reachable and every kind was listed."""
-        return self._reachable and len(self._revisions) == len(ResourceKind)
+        """Return whether the store is reachable and every kind up to date.
+
+        A kind is up to date once it was listed, unless its last check was not
+        answered.
+        """
+        listed = len(self._revisions) == len(ResourceKind)
+        return self._reachable and listed and not self._unchecked
 
     @property
     def last_contact_at(self) -> float:
@@ -172,39 +187,39 @@
         Those of kinds that are not watched are 0.
         """
         revisions = {
-            f'store_revision_{kind.value}': self._revisions.get(kind, 0)
+            f'store_revision_{kind.value}': self._known_revisions.get(kind, 0)
             for kind in ResourceKind
         }
         return {'store_revision_probed': self._probed_revision, **revisions}
 
     def start(self) -> None:
         """Watch every kind of object."""
+        for kind in ResourceKind:
+            self._start_watch(kind)
         loop = asyncio.get_running_loop()
-        self._revisions.clear()
-        self._start_watches()
         self._probe_task = loop.create_task(self._probe_store())
 
     def stop(self) -> None:
         """Stop watching; the view stays as it is."""
         if self._watch_tasks:
             self._probe_task.cancel()
-        self._stop_watches()
+        for task in self._watch_tasks.values():
+            task.cancel()
+        self._watch_tasks.clear()
         self._revisions.clear()
+        self._known_revisions.clear()
+        self._unchecked.clear()
         self._probed_revision = 0
-        self._clear_lag()
         self._reachable = False
         self._was_current = False
 
-    def _start_watches(self) -> None:
+    def _start_watch(self, kind: ResourceKind) -> None:
         loop = asyncio.get_running_loop()
-        self._watch_tasks = [
-            loop.create_task(self._watch_kind(kind)) for kind in ResourceKind
-        ]
+        self._watch_tasks[kind] = loop.create_task(self._watch_kind(kind))
 
-    def _stop_watches(self) -> None:
-        for task in self._watch_tasks:
-            task.cancel()
-        self._watch_tasks = []
+    def _restart_watch(self, kind: ResourceKind) -> None:
+        self._watch_tasks[kind].cancel()
+        self._start_watch(kind)
 
     async def _watch_kind(self, kind: ResourceKind) -> None:
         failures = 0
@@ -212,8 +227,7 @@
             try:
                 batch = await self._fetch_changes(kind)
             except HistoryLost:
-                log.info('history lost', extra={'kind': kind.value})
-                self._revisions.pop(kind, None)
+                self._relist(kind)
                 continue
             except IbismountError as exc:
                 failures += 1
@@ -221,11 +235,8 @@
                 await asyncio.sleep(self._backoff_s(failures))
                 continue
             failures = 0
-            self._record_contact()
-            for change in batch.changes:
-                self._apply(self._delay_removal(change))
+            self._accept(kind, batch)
             self._revisions[kind] = batch.revision
-            self._watched_revision = max(self._watched_revision, batch.revision)
             self._report_current()
             if batch.changes:
                 await asyncio.sleep(self._options.batch_window_s)
@@ -255,39 +266,67 @@
                 self._probed_revision = max(self._probed_revision, revision)
                 self._record_contact()
                 self._report_current()
-                self._restart_lagging_watches(revision)
+                await self._check_lagging_kinds()
+
+    def _accept(self, kind: ResourceKind, batch: ChangeBatch) -> None:
+        self._record_contact()
+        for change in batch.changes:
+            self._apply(self._delay_removal(change))
+        self._known_revisions[kind] = max(
+            self._known_revisions.get(kind, 0), batch.revision
+        )
+        self._unchecked.discard(kind)
 
-    def _restart_lagging_watches(self, revision: int) -> None:
-        """Send the watches again if the store stays ahead of them.
+    async def _check_lagging_kinds(self) -> None:
+        """Fetch the changes of the kinds that the store is ahead of.
 
         The answer to a watch can be lost without an error on its connection.
         """
-        if revision <= self._watched_revision or len(self._revisions) < len(
-            ResourceKind
-        ):
-            self._clear_lag()
+        if not self._lagging_kinds():
             return
-        if self._lagging_since is None:
-            self._lagging_since = self._now()
+        # Most watches answer by then.
+        await asyncio.sleep(self._options.max_watch_lag_s)
+        await asyncio.gather(*map(self._check_kind, self._lagging_kinds()))
+
+    def _lagging_kinds(self) -> list[ResourceKind]:
+        """Return the listed kinds with an older revision than the store."""
+        return [
+            kind
+            for kind in self._revisions
+            if self._known_revisions[kind] < self._probed_revision
+        ]
+
+    async def _check_kind(self, kind: ResourceKind) -> None:
+        known = self._known_revisions[kind]
+        try:
+            batch = await self._reader.check(
+                kind, known, self._options.check_timeout_s
+            )
+        except HistoryLost:
+            self._relist(kind)
+            self._restart_watch(kind)
             return
-        options = self._options
-        max_lag_s = options.max_watch_lag_s * (
-            options.lag_backoff_factor**self._resend_count
-        )
-        if self._now() - self._lagging_since < max_lag_s:
+        except IbismountError as exc:
+            self._record_unchecked(kind, exc)
             return
-        log.info(
-            'watches sent again',
-            extra={'heard': self._watched_revision, 'revision': revision},
-        )
-        self._lagging_since = self._now()
-        self._resend_count += 1
-        self._stop_watches()
-        self._start_watches()
+        answered = self._known_revisions[kind] > known
+        self._accept(kind, batch)
+        if batch.changes and not answered:
+            log.info(
+                'watches sent again',
+                extra={
+                    'kind': kind.value,
+                    'heard': known,
+                    'revision': batch.revision,
+                },
+            )
+            self._revisions[kind] = batch.revision
+            self._restart_watch(kind)
+        self._report_current()
 
-    def _clear_lag(self) -> None:
-        self._lagging_since = None
-        self._resend_count = 0
+    def _relist(self, kind: ResourceKind) -> None:
+        log.info('history lost', extra={'kind': kind.value})
+        self._revisions.pop(kind, None)
 
     def _delay_removal(self, change: FleetChange) -> FleetChange:
         recently_failed = (
@@ -321,6 +360,16 @@
         ):
             self._on_current()
 
+    def _record_unchecked(
+        self, kind: ResourceKind, exc: IbismountError
+    ) -> None:
+        self._unchecked.add(kind)
+        self._was_current = False
+        log.warning(
+            'check not answered',
+            extra={'kind': kind.value, 'reason': str(exc)},
+        )
+
     def _record_failure(
         self, exc: IbismountError, kind: ResourceKind | None
     ) -> None:
--- a/ibismount/log_reader.py
+++ b/ibismount/log_reader.py
@@ -35,6 +35,7 @@
         'feed: store reached',
         'feed: history lost',
         'feed: watches sent again',
+        'feed: check not answered',
         'quarantine: request quarantined',
         'peers: following the store',
         'peers: store left to peers',
--- a/ibismount/platform/store.py
+++ b/ibismount/platform/store.py
@@ -140,15 +140,19 @@
                 return Listing(entries, revision)
             after = page.items[-1].meta.name
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Listing:
+    async def watch(
+        self, kind: str, revision: int, wait_s: float, *, timeout_s: float
+    ) -> Listing:
         """Return the changes after a revision; empty if none within a wait.
 
+        A wait of 0 seconds makes the store answer at once.
+
         Raises:
             HistoryGone: The store no longer keeps these changes.
             StoreError: The store did not answer.
         """
         path = f'/objects/{kind}?watch={revision}&wait-ms={int(wait_s * 1000)}'
-        answer = await self._get(path, wait_s + _WATCH_ANSWER_MARGIN_S)
+        answer = await self._get(path, timeout_s)
         page = self._decode(answer, _Events)
         entries = [
             _convert_entry(event.object, removed=event.deleted)
@@ -218,8 +222,6 @@
             ) from exc
 
 
-# The store may answer a watch this much after the requested wait, in seconds.
-_WATCH_ANSWER_MARGIN_S = 1.5
 _STATUS_GONE = 410
 
 
--- a/ibismount/platform/store_reader.py
+++ b/ibismount/platform/store_reader.py
@@ -37,6 +37,9 @@
 
 log = part_logger('platform')
 
+# The store may answer a watch this much after the requested wait, in seconds.
+_WATCH_ANSWER_MARGIN_S = 1.5
+
 _PLATFORM_KINDS = {
     ResourceKind.ROUTES: CONFIG_KIND,
     ResourceKind.SERVERS: SERVER_KIND,
@@ -60,9 +63,30 @@
         self, kind: ResourceKind, revision: int, wait_s: float
     ) -> ChangeBatch:
         """Return the changes after a revision; empty if none within a wait."""
+        timeout_s = wait_s + _WATCH_ANSWER_MARGIN_S
+        return await self._read_changes(kind, revision, wait_s, timeout_s)
+
+    async def check(
+        self, kind: ResourceKind, revision: int, timeout_s: float
+    ) -> ChangeBatch:
+        """Return the changes after a revision at once, also if there are none."""
+        return await self._read_changes(kind, revision, 0, timeout_s)
+
+    async def probe(self, timeout_s: float) -> int:
+        """Return the store's revision, possibly stale, by a cheap read."""
+        # Evacuations are the shortest list.
+        return await self._store.revision(EVACUATION_KIND, timeout_s)
+
+    async def _read_changes(
+        self,
+        kind: ResourceKind,
+        revision: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> ChangeBatch:
         try:
             listing = await self._store.watch(
-                _PLATFORM_KINDS[kind], revision, wait_s
+                _PLATFORM_KINDS[kind], revision, wait_s, timeout_s=timeout_s
             )
         except HistoryGone as exc:
             raise HistoryLost(str(exc)) from exc
@@ -73,11 +97,6 @@
         ]
         return ChangeBatch(changes, listing.revision)
 
-    async def probe(self, timeout_s: float) -> int:
-        """Return the store's revision, possibly stale, by a cheap read."""
-        # Evacuations are the shortest list.
-        return await self._store.revision(EVACUATION_KIND, timeout_s)
-
 
 def _decode_listing(kind: ResourceKind, listing: Listing) -> list[FleetChange]:
     if kind is ResourceKind.ZONES:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -14,6 +14,7 @@
 import contextlib
 import json
 import sys
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
 import anyio.abc
@@ -41,6 +42,9 @@
         self.calls = 0
         # One of: '', 'busy', 'silent', 'reset', 'garbage'.
         self.fault = ''
+        # Returns whether the answer to a call is lost, from its target. Nothing
+        # more is sent on the connection of such a call.
+        self.loses_answer: Callable[[str], bool] = lambda target: False
         self._kinds: dict[str, dict[str, dict]] = {}
         self._history: collections.deque[tuple[int, str, dict]] = (
             collections.deque()
@@ -189,7 +193,8 @@
         fault = self._store.fault
         if fault == 'reset':
             self.reset()
-        self.silent = fault == 'silent'
+        lost = self._store.loses_answer(request.target)
+        self.silent = lost or fault == 'silent'
         if fault == 'garbage':
             truncated = response.body[: len(response.body) // 2]
             return response._replace(body=truncated)
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -105,6 +105,15 @@
             if self.unavailable:
                 raise IbismountError(ErrorCode.PLATFORM_UNAVAILABLE, 'away')
 
+    async def check(self, kind, revision, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.watch(kind, revision, 0)
+        except TimeoutError as exc:
+            raise IbismountError(
+                ErrorCode.PLATFORM_UNAVAILABLE, 'silent'
+            ) from exc
+
     async def probe(self, timeout_s):
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -10,9 +10,10 @@
 
 from standins.edge_fleet import SHARDS, EdgeFleet
 
-# Once a request has ended three servers, and after this time more, at most this
-# many further tries of it may reach servers.
+# Nodes are up to date again after this time without a fault of the store.
 CONTACT_S = 4.0
+# Once a request has ended three servers, and after `CONTACT_S` more, at most this
+# many further tries of it may reach servers.
 MAX_LATE_TRIES = 3
 # From `CONTACT_S` after a server first stated a limit, it may get this many times
 # what the limit allows, and this many requests more, in any window.
@@ -128,6 +129,29 @@
     run_test(tmp_path, main)
 
 
+def test_lost_answer_of_the_store_delays_no_version(tmp_path):
+    """All nodes used the old routes for 18 s if another kind changed next."""
+
+    async def main(fleet, client):
+        fleet.store.loses_answer = lambda target: (
+            target.startswith('/objects/config?') and 'watch=' in target
+        )
+        await fleet.configure(2)
+        await asyncio.sleep(0.3)
+        await fleet.register(fleet.servers[0], state='draining')
+        await asyncio.sleep(0.7)
+        fleet.store.loses_answer = lambda target: False
+        await asyncio.sleep(CONTACT_S)
+        for ip in fleet.ips:
+            for path, status in (('/booking1/x', 404), ('/booking2/x', 200)):
+                _, answer = await fleet.send_new_request(
+                    client, ip, path, 'POST'
+                )
+                assert answer.status_code == status
+
+    run_test(tmp_path, main)
+
+
 def test_shutdown_answers_requests_under_way(tmp_path):
     """Requests under way at SIGTERM must be answered."""
 
