Lose single answers of the store in the soak

Change: for a while, each answer is lost with a probability of 0.35. At the end, once no answer has been lost for 4 s, all nodes without a fault must use the newest version.

--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -263,6 +263,17 @@
             return []
         return sorted(answer.json()['addrs'])
 
+    async def read_version(self, ip: str) -> int:
+        """Return the version of the configuration that a node uses."""
+        url = f'http://{ip}:{self.ports[4]}/metrics'
+        async with httpx.AsyncClient() as client:
+            answer = await client.get(url)
+        name = 'ibismount_version '
+        for line in answer.text.splitlines():
+            if line.startswith(name):
+                return int(float(line.removeprefix(name)))
+        return 0
+
     async def send_new_request(
         self,
         client: httpx.AsyncClient,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -42,6 +42,10 @@
 FAULT_PAUSE_S = (0.2, 0.9)
 FAULT_DURATION_S = (0.3, 1.5)
 SETTLE_S = 4.0  # until runs of abandoned requests have ended on the servers
+# Share of the store's answers that are lost meanwhile. Nodes are up to date
+# again once no answer has been lost for `CONTACT_S`.
+LOST_ANSWER_SHARE = 0.35
+CONTACT_S = 4.0
 # A cold server may receive COLD_RATE_FACTOR times its rate plus
 # COLD_EXTRA_REQUESTS in a second, once all nodes have had COLD_PROPAGATION_S
 # to read its entry.
@@ -104,6 +108,8 @@
         self._faulty_ips: set[str] = set()
         self._version = 1
         self._store_fault_ended_at = float('-inf')
+        self._answer_loss_ended_at = float('-inf')
+        self._answer_loss_count = 0
         self._pause_ended_at = float('-inf')
         self._paused_count = 0
         self._cold_periods: list[ServerPeriod] = []
@@ -127,7 +133,10 @@
             await asyncio.sleep(seconds)
             for task in tasks:
                 task.cancel()
-        await asyncio.sleep(SETTLE_S)
+        self._fleet.store_proxy.fault = ''
+        self._fleet.store.loses_answer = lambda target: False
+        await asyncio.sleep(max(SETTLE_S, CONTACT_S))
+        await self._check_versions()
         self._check_runs()
         for period in self._cold_periods:
             self._check_cold_rate(period)
@@ -272,6 +281,16 @@
                 f'only {served} of {len(self.sent)} requests were answered'
             )
 
+    async def _check_versions(self) -> None:
+        """Check that all nodes without a fault use the newest version."""
+        healthy = [ip for ip in self._fleet.ips if ip not in self._faulty_ips]
+        for ip in healthy:
+            version = await self._fleet.read_version(ip)
+            if version != self._version:
+                self.findings.append(
+                    f'{ip}: version {version} instead of {self._version}'
+                )
+
     def _check_removed(self, period: ServerPeriod) -> None:
         """Check that a server that had left got no request."""
         arrivals = [
@@ -305,6 +324,7 @@
             self._stop_node,
             self._pause_node,
             self._break_store_link,
+            self._lose_store_answers,
             self._break_server_link,
             self._break_server,
             self._drain_server,
@@ -389,6 +409,25 @@
         proxy.fault = ''
         self._store_fault_ended_at = asyncio.get_running_loop().time()
 
+    async def _lose_store_answers(self) -> None:
+        rng = random.Random(self._rng.random())
+        self._answer_loss_count += 1
+        self._fleet.store.loses_answer = lambda target: (
+            rng.random() < LOST_ANSWER_SHARE
+        )
+        await asyncio.sleep(self._draw_duration_s())
+        self._answer_loss_count -= 1
+        if not self._answer_loss_count:
+            self._fleet.store.loses_answer = lambda target: False
+        self._answer_loss_ended_at = asyncio.get_running_loop().time()
+
+    def _answers_were_lost(self, since: float) -> bool:
+        """Return whether nodes may have been behind the store since a time."""
+        return bool(
+            self._answer_loss_count
+            or self._answer_loss_ended_at > since - CONTACT_S
+        )
+
     async def _break_server_link(self) -> None:
         server = self._rng.choice(self._fleet.servers)
         proxy = self._fleet.proxies[server.id]
@@ -443,6 +482,7 @@
         disturbed_at = max(self._store_fault_ended_at, self._pause_ended_at)
         return bool(
             disturbed_at > since - 2 * COLD_PROPAGATION_S
+            or self._answers_were_lost(since)
             or self._fleet.store_proxy.fault
             or self._paused_count
         )
@@ -490,7 +530,14 @@
         store_was_faulty = (
             self._store_fault_ended_at > propagated_at - 2 * COLD_PROPAGATION_S
         )
-        if store_was_faulty or self._fleet.store_proxy.fault:
+        answers_were_lost = self._answers_were_lost(
+            propagated_at - COLD_PROPAGATION_S
+        )
+        if (
+            store_was_faulty
+            or answers_were_lost
+            or self._fleet.store_proxy.fault
+        ):
             return
         self._cold_periods.extend(
             ServerPeriod(server, propagated_at, server.cold_until)
