Recognize copies without an id on kept connections

Cause: an answer without an id counts unless the server was seen to state ids. That was kept in the health of the server, which is dropped when its entry lapses or names a new lifetime, while the connection stays open. A copy that came on it afterwards was taken for the answer.

Change: the connection keeps that an answer on it stated an id. The answer that a copy repeats came on the same connection, so nothing that ends with the entry is needed. Servers that never state ids are used as before.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -320,13 +320,16 @@
         """Return whether an answer is for the request that waits for one.
 
         A server may send a second copy of an earlier answer. Without an id,
-        the copy is recognized only if the server usually states the id.
+        the copy is recognized only if the server usually states the id. The
+        connection tells that too: it can outlive the health of its server,
+        and the answer that is copied came on it.
         """
+        conn = call.pending.conn
         if answer.names_request:
-            call.health.names_requests = True
+            call.health.names_requests = conn.names_requests = True
             belongs = answer.kind is not AnswerKind.OTHER_REQUEST
         else:
-            belongs = not call.health.names_requests
+            belongs = not (call.health.names_requests or conn.names_requests)
         if not belongs:
             self.metrics.record_attempt(AnswerKind.OTHER_REQUEST.value)
             self._log_attempt(job, call, AnswerKind.OTHER_REQUEST.value)
--- a/ibismount/http_client.py
+++ b/ibismount/http_client.py
@@ -137,6 +137,9 @@
         self.idle_timeout_s: float | None = None
         self.idle_since: float = 0
         self.closed = False
+        # Set by the owners of exchanges: some response on this connection
+        # stated the id of its request.
+        self.names_requests = False
         self._transport: asyncio.Transport | None = None
         self._owner: ExchangeOwner | None = None
         self._responses: list[RawResponse] = []
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -9,7 +9,7 @@
 from ibismount.edge_dispatch import DispatchOptions, EdgeDispatch
 from ibismount.extra_request_budget import BudgetOptions, ExtraRequestBudget
 from ibismount.fleet_state import FleetState, ServersListed
-from ibismount.http_client import ExchangeFailure, RawResponse
+from ibismount.http_client import Connection, ExchangeFailure, RawResponse
 from ibismount.node_share import NodeShare
 from ibismount.placement import Placement
 from ibismount.platform.wire import PlatformWireFormat
@@ -60,6 +60,9 @@
         self.refusing_connections = set()
         # Servers to which connections are neither refused nor established.
         self.silent_hosts = set()
+        # One connection to each server is used for all its exchanges if set.
+        self.keeps_connections = False
+        self.kept_connections = collections.defaultdict(Connection)
         self.exchanges = set()
 
     def start_exchange(self, address, owner, request, *, max_open):
@@ -103,6 +106,11 @@
         self.loop = asyncio.get_running_loop()
         self.ended = False
         self.sent = False
+        self.conn = (
+            pool.kept_connections[server.server.id]
+            if pool.keeps_connections
+            else Connection()
+        )
 
     def receive(self):
         if self.ended:
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -615,6 +615,47 @@
     run_on_virtual_time(main)
 
 
+@pytest.mark.parametrize(
+    'copy',
+    [
+        RawResponse(200, [(b'ibismount-server-stamp', b'copy')], b''),
+        RawResponse(503, [(b'ibismount-not-executed', b'1')], b''),
+    ],
+)
+def test_copy_without_an_id_is_recognized_after_the_entry_lapsed(copy):
+    """A copy became the next caller's answer, or made a booking run twice.
+
+    What was known of the server was dropped with its entry, while the connection
+    to it stayed open.
+    """
+
+    async def main():
+        harness = DispatchHarness()
+        harness.pool.keeps_connections = True
+        servers = [fake.server for fake in harness.servers_of('lookup')]
+        for fake in harness.servers_of('lookup'):
+            fake.choose_reply = lambda exchange: 'hang'
+        _, job, _ = harness.submit(b'/lookup/x')
+        first_call = next(iter(job._open_calls))
+        stamp = (b'ibismount-server-stamp', b'first')
+        name = (b'ibismount-request-id', job.req.request_id.encode())
+        assert first_call.on_response(RawResponse(200, [stamp, name], b''))
+        for server in servers:
+            harness.fleet.apply(ServerRemoved(server.id, 2000))
+        harness.dispatch.prune_removed()
+        server = dataclasses.replace(first_call.server, revision=2001)
+        harness.fleet.apply(ServerChanged(server))
+        request_id, job, fut = harness.submit(b'/booking/x', method=b'POST')
+        await asyncio.sleep(0.1)
+        call = next(iter(job._open_calls))
+        assert call.server.id == first_call.server.id
+        assert not call.on_response(copy)
+        assert not fut.done()
+        assert harness.runs_by_server(request_id) == {server.id: 1}
+
+    run_on_virtual_time(main)
+
+
 def test_server_that_never_states_ids_is_used():
     """Answers without an id are normal for a server that has no ids."""
 
