Decode the store's objects one by one if one can't be read

Cause: a list or watch was decoded in one call, contents included, so one string without text failed the whole answer, and the call was repeated for ever. The check of single entries came later. Deep nesting raised RecursionError, which ended the task of the watch. Numbers beyond 64 bits passed and could not be sent to other nodes.

Change: an answer that can't be decoded as a whole is split at its brackets and strings, without recursion, and its objects are decoded one by one. One that fails names no server. Ports and numbers of entries are checked for their range. Answers that can be decoded take the same path as before.

--- a/ibismount/platform/documents.py
+++ b/ibismount/platform/documents.py
@@ -4,7 +4,7 @@
 validated as a whole. An invalid entry raises `DocumentError` and is not used.
 """
 
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -33,6 +33,9 @@
 EVACUATION_KIND = 'evacuations'
 
 _SECONDS_PER_MS = 0.001
+# Larger numbers can't be sent to other nodes.
+_MAX_INT = 2**63 - 1
+_MAX_PORT = 65535
 
 
 class DocumentError(ValueError):
@@ -45,12 +48,12 @@
     address: str
     zone: str
     version: str
-    max_concurrency: int
+    max_concurrency: Annotated[int, msgspec.Meta(le=_MAX_INT)]
     state: Literal['ready', 'draining']
     cold_remaining_ms: float
     sequence: int
     # Start time of the server, in Unix milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT)] = 0
 
 
 class _TrafficSplitDoc(msgspec.Struct, rename='kebab'):
@@ -112,6 +115,8 @@
     try:
         doc = msgspec.convert(spec, _ServerDoc)
         host, _, port = doc.address.rpartition(':')
+        if not 1 <= int(port) <= _MAX_PORT:
+            raise ValueError(f'port out of range: {port}')
         return Server(
             id=name,
             service=doc.backend,
--- a/ibismount/platform/store.py
+++ b/ibismount/platform/store.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import dataclasses
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote
 
-import msgspec
-
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.http_client import (
     Connection,
@@ -14,9 +13,19 @@
     RawResponse,
     connect,
 )
+from ibismount.platform.store_pages import (
+    EventsPage,
+    ListPage,
+    PageError,
+    StoredObject,
+    decode_events,
+    decode_list,
+)
 
 __all__ = ('HistoryGone', 'Listing', 'StoreClient', 'StoreError', 'StoredEntry')
 
+_PageT = TypeVar('_PageT', ListPage, EventsPage)
+
 
 class StoreError(IbismountError):
     """Raised when the store does not answer a call, or refuses it."""
@@ -32,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredEntry:
-    """One object, or its removal."""
+    """One object, or its removal; its content may be `UNREADABLE`."""
 
     name: str
     revision: int
@@ -48,32 +57,6 @@
     revision: int
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: Any = None
-
-
-class _Page(msgspec.Struct, rename='kebab'):
-    items: list[_Object]
-    store_revision: int
-    has_more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct, rename='kebab'):
-    events: list[_Event]
-    store_revision: int
-
-
 class _PendingCall:
     """An HTTP exchange whose answer is awaited."""
 
@@ -128,9 +111,8 @@
         revision: int | None = None
         while True:
             query = f'?after={quote(after)}' if after else ''
-            page = self._decode(
-                await self._get(f'/objects/{kind}{query}', timeout_s), _Page
-            )
+            answer = await self._get(f'/objects/{kind}{query}', timeout_s)
+            page = _decode(decode_list, answer)
             entries.extend(map(_convert_entry, page.items))
             # A watch from the first page's revision also returns the changes
             # made while the later pages were read.
@@ -153,7 +135,7 @@
         """
         path = f'/objects/{kind}?watch={revision}&wait-ms={int(wait_s * 1000)}'
         answer = await self._get(path, timeout_s)
-        page = self._decode(answer, _Events)
+        page = _decode(decode_events, answer)
         entries = [
             _convert_entry(event.object, removed=event.deleted)
             for event in page.events
@@ -167,7 +149,7 @@
             StoreError: The store did not answer.
         """
         answer = await self._get(f'/objects/{kind}?serializable=1', timeout_s)
-        return self._decode(answer, _Page).store_revision
+        return _decode(decode_list, answer).store_revision
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -213,19 +195,20 @@
         conn.on_idle = self._idle_connections.append
         return conn
 
-    def _decode(self, answer: RawResponse, document_type: type) -> Any:
-        try:
-            return msgspec.json.decode(answer.body, type=document_type)
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-            raise StoreError(
-                f'cannot decode the answer of the store: {exc}'
-            ) from exc
-
 
 _STATUS_GONE = 410
 
 
-def _convert_entry(stored: _Object, *, removed: bool = False) -> StoredEntry:
+def _decode(decode: Callable[[bytes], _PageT], answer: RawResponse) -> _PageT:
+    try:
+        return decode(answer.body)
+    except PageError as exc:
+        raise StoreError(str(exc)) from exc
+
+
+def _convert_entry(
+    stored: StoredObject, *, removed: bool = False
+) -> StoredEntry:
     return StoredEntry(
         stored.meta.name, stored.meta.revision, stored.spec, removed
     )
--- a/ibismount/platform/store_reader.py
+++ b/ibismount/platform/store_reader.py
@@ -32,6 +32,7 @@
     StoreClient,
     StoredEntry,
 )
+from ibismount.platform.store_pages import UNREADABLE
 
 __all__ = ('PlatformStoreReader',)
 
@@ -122,7 +123,12 @@
         change = _decode_change(kind, entry)
     except DocumentError as exc:
         log.warning(
-            'store entry ignored: invalid content', extra={'reason': str(exc)}
+            'store entry ignored: invalid content',
+            extra={
+                'entry': entry.name,
+                'revision': entry.revision,
+                'reason': str(exc),
+            },
         )
         if kind is ResourceKind.SERVERS:
             # An invalid entry replaced the one in the view.
@@ -137,9 +143,11 @@
 ) -> FleetChange | None:
     if kind is ResourceKind.ZONES:
         return ZoneChanged(entry.name, not entry.removed, entry.revision)
+    if kind is ResourceKind.SERVERS and entry.removed:
+        return ServerRemoved(entry.name, entry.revision)
+    if entry.spec is UNREADABLE:
+        raise DocumentError(f'{entry.name}: content cannot be decoded')
     if kind is ResourceKind.SERVERS:
-        if entry.removed:
-            return ServerRemoved(entry.name, entry.revision)
         return ServerChanged(
             decode_server(entry.name, entry.revision, entry.spec)
         )
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -152,6 +152,24 @@
     run_test(tmp_path, main)
 
 
+def test_unreadable_entry_keeps_no_node_from_starting(tmp_path):
+    """One entry of another client left every restarted node without a view."""
+
+    async def main(fleet, client):
+        await fleet.store.put('servers', 'label-7', {'version': '\ud83d'})
+        for ip in fleet.ips:
+            fleet.edges[ip].kill()
+            await fleet.edges[ip].wait()
+        for ip in fleet.ips:
+            await fleet.start_edge(ip)
+        for ip in fleet.ips:
+            await fleet.wait_until_ready(ip)
+            answer = (await fleet.send_new_request(client, ip))[1]
+            assert answer.status_code == 200
+
+    run_test(tmp_path, main)
+
+
 def test_shutdown_answers_requests_under_way(tmp_path):
     """Requests under way at SIGTERM must be answered."""
 
