Keep the order of a caller's bytes around an answer

Cause: the connection counts as free once an answer is sent, and the buffered bytes are parsed in the next turn of the event loop. Bytes that were read in the same turn as the answer were parsed before them.

The new test, which plays this turn, failed before: the pieces of the second request changed places, and the connection was refused.

Change: new bytes are buffered as long as earlier ones wait.

--- a/ibismount/caller_connection.py
+++ b/ibismount/caller_connection.py
@@ -143,7 +143,8 @@
         if self.closed:
             self._discard(data)
             return
-        if self._busy:
+        if self._busy or self._requests or self._pipelined:
+            # Also right after an answer, until the next request is started.
             self._pipelined += data
             if len(self._pipelined) > MAX_PIPELINED_BYTES:
                 self.close()
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -84,6 +84,36 @@
     run_test(main)
 
 
+def test_bytes_that_arrive_with_the_answer_follow_the_buffered_ones():
+    """A later request was served before one that had waited in the buffer.
+
+    A node that was frozen reads the server's answer and the caller's next bytes
+    in one turn of its event loop.
+    """
+
+    async def main():
+        endpoint = Endpoint()
+        _, writer = await connect_to(endpoint)
+        writer.write(get(b'/1'))
+        await endpoint.arrived.wait()
+        conn = endpoint.requests[0][1]
+        piece, rest = get(b'/2')[:9], get(b'/2')[9:]
+        conn.data_received(piece)
+        conn.answer(OK)
+        conn.data_received(rest + get(b'/3'))
+        conn.data_received(get(b'/4'))
+        for number in range(1, 4):
+            await asyncio.sleep(0.01)
+            endpoint.requests[number][1].answer(OK)
+            conn.data_received(get(b'/%d' % (number + 4)))
+        await asyncio.sleep(0.01)
+        targets = [raw.target for raw, _ in endpoint.requests]
+        assert targets == [b'/1', b'/2', b'/3', b'/4', b'/5']
+        assert not conn.closed
+
+    run_test(main)
+
+
 def test_disconnect_of_the_caller_cancels_its_request():
     """Servers must not work on requests without a caller."""
 
