Answer all that has arrived before a leaving node closes a connection

Cause: a leaving node closed a connection with the next answer, whatever was buffered on it. The check for idle connections counts such requests already.

Change: the connection closes, and says so, with the answer to the last request that has arrived; bytes that the kernel holds count, since closing before they are read resets the connection.

--- a/ibismount/caller_connection.py
+++ b/ibismount/caller_connection.py
@@ -113,11 +113,7 @@
         are read would reset it.
         """
         return not (
-            self._busy
-            or self._request_begun
-            or self._requests
-            or self._pipelined
-            or self._has_unread_bytes()
+            self._busy or self._request_begun or self._has_further_bytes()
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -166,7 +162,7 @@
         if self.closed:
             return
         self._transport.write(encoded)
-        if last or not self._keep_alive or self._endpoint.leaving:
+        if last or self.closes_after_answer:
             self.close()
             return
         self._start_timer(self._endpoint.limits.idle_s)
@@ -174,8 +170,13 @@
 
     @property
     def closes_after_answer(self) -> bool:
-        """Return whether the connection closes after the next answer."""
-        return not self._keep_alive or self._endpoint.leaving
+        """Return whether the connection closes after the next answer.
+
+        A node that leaves closes it once it has answered all that has arrived.
+        """
+        if not self._keep_alive:
+            return True
+        return self._endpoint.leaving and not self._has_further_bytes()
 
     def close(self) -> None:
         """Close once the bytes written so far are sent."""
@@ -216,6 +217,12 @@
         self._requests.append((raw, self._parser.should_keep_alive()))
         self._clear_message()
 
+    def _has_further_bytes(self) -> bool:
+        """Return whether more than the request under way has arrived."""
+        return bool(
+            self._requests or self._pipelined or self._has_unread_bytes()
+        )
+
     def _has_unread_bytes(self) -> bool:
         descriptor = self._transport.get_extra_info('socket').fileno()
         if descriptor < 0:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -247,6 +247,28 @@
     run_test(main)
 
 
+def test_leaving_node_answers_the_requests_that_it_has_read():
+    """Pipelined requests got no answer when their node shut down."""
+
+    async def main():
+        endpoint = Endpoint()
+        reader, writer = await connect_to(endpoint)
+        writer.write(get(b'/1') + get(b'/2'))
+        await endpoint.arrived.wait()
+        writer.write(get(b'/3'))
+        await asyncio.sleep(0.02)
+        endpoint.is_leaving = True
+        for number in range(3):
+            raw, conn = endpoint.requests[number]
+            assert raw.target == b'/%d' % (number + 1)
+            assert conn.closes_after_answer == (number == 2)
+            conn.answer(OK)
+            await asyncio.sleep(0.02)
+        assert await reader.read() == OK * 3
+
+    run_test(main)
+
+
 def test_answer_after_the_caller_left_is_dropped():
     """An outcome after the disconnect must not raise."""
 
