Ignore SIGHUP until its handler is installed

Cause: until the event loop runs, the signal has its default action.

Change: the program ignores it before its imports, which take most of that time. The settings file is read after them, so no change is missed.

--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -1,9 +1,15 @@
 """The edge program of each entry VM: ``python -m ibismount.edge``."""
 
+import signal
+
+if __name__ == '__main__':
+    # The imports take longest at the start. SIGHUP would end the process by its
+    # default action until the event loop handles it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import os
 import random
-import signal
 import sys
 import time
 
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import signal
+import subprocess
+import sys
 
 import httpx
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from standins.edge_fleet import SHARDS, EdgeFleet
+from standins.edge_fleet import ROOT, SHARDS, EdgeFleet
 
 # Nodes are up to date again after this time without a fault of the store.
 CONTACT_S = 4.0
@@ -279,6 +281,30 @@
     run_test(tmp_path, main)
 
 
+def test_reload_signal_during_the_imports_does_not_end_the_process():
+    """The default action of SIGHUP ended a process within 0.2 s of its start."""
+    script = """
+import os, runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'ibismount.change_feed':
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Finder())
+sys.argv = ['edge', '--help']
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+runpy.run_module('ibismount.edge', run_name='__main__')
+"""
+    done = subprocess.run(
+        [sys.executable, '-c', script],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 0
+    assert done.stdout.startswith('usage:')
+
+
 def test_metrics_are_served_as_text(tmp_path):
     """Counters must be readable by the usual scrapers."""
 
