Repeat the random tests of the store's pages exactly

They drew new examples in each run and had a time limit for each, which a busy machine can exceed. They are now derandomized, as the other random tests, with 200 examples in place of 100 and no time limit.

--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ibismount.platform.documents import DocumentError, decode_server
@@ -16,6 +16,7 @@
     decode_list,
 )
 
+FUZZ = settings(max_examples=200, derandomize=True, deadline=None)
 UNREADABLE_SPECS = [
     b'{"version":"\\ud83d"}',
     b'{"version":"caf\xe9"}',
@@ -107,6 +108,7 @@
         decode_list(raw)
 
 
+@FUZZ
 @given(st.binary())
 def test_any_bytes_are_a_page_or_an_error(raw):
     """Bytes that are no JSON text must not end the task of a watch."""
@@ -124,6 +126,7 @@
 )
 
 
+@FUZZ
 @given(st.lists(VALUES))
 def test_split_array_returns_what_a_decoder_returns(elements):
     """Guards against splitting inside of strings or nested values."""
@@ -131,6 +134,7 @@
     assert [json.loads(member) for member in split_array(raw)] == elements
 
 
+@FUZZ
 @given(st.dictionaries(st.text('abc-é'), VALUES))
 def test_split_object_returns_what_a_decoder_returns(members):
     """Guards against losing members or taking a nested key for one."""
