--- a/tests/test_lost_store_answers.py
+++ b/tests/test_lost_store_answers.py
@@ -145,6 +145,12 @@
     return store.version, revisions, store.zones
 
 
+async def assert_complete_once_calm(store, fleet):
+    store.loses = lambda name, kind: False
+    await asyncio.sleep(CONTACT_S)
+    assert view_of(fleet) == content_of(store)
+
+
 @pytest.mark.parametrize('next_kind', ResourceKind)
 @pytest.mark.parametrize('lost_kind', ResourceKind)
 def test_lost_answer_is_noticed_whatever_changes_next(lost_kind, next_kind):
@@ -162,9 +168,7 @@
         await asyncio.sleep(0.3)
         store.change(next_kind)
         await asyncio.sleep(0.7)
-        store.loses = lambda name, kind: False
-        await asyncio.sleep(CONTACT_S)
-        assert view_of(fleet) == content_of(store)
+        await assert_complete_once_calm(store, fleet)
         feed.stop()
 
     run_on_virtual_time(main)
@@ -183,9 +187,7 @@
         )
         store.change(ResourceKind.ROUTES)
         await asyncio.sleep(loss_s)
-        store.loses = lambda name, kind: False
-        await asyncio.sleep(CONTACT_S)
-        assert view_of(fleet) == content_of(store)
+        await assert_complete_once_calm(store, fleet)
         feed.stop()
 
     run_on_virtual_time(main)
@@ -208,9 +210,7 @@
             if rng.random() < 0.1:
                 store.drop_history()
             await asyncio.sleep(rng.choice((0, 0.1, 0.4, 1.5)))
-        store.loses = lambda name, kind: False
-        await asyncio.sleep(CONTACT_S)
-        assert view_of(fleet) == content_of(store)
+        await assert_complete_once_calm(store, fleet)
         feed.stop()
 
     run_on_virtual_time(main)
@@ -231,9 +231,7 @@
         # The loss ends right after the last of the lost probes was sent.
         while store.calls.count(('probe', None)) < lost_count:
             await asyncio.sleep(0.01)
-        store.loses = lambda name, kind: False
-        await asyncio.sleep(CONTACT_S)
-        assert view_of(fleet) == content_of(store)
+        await assert_complete_once_calm(store, fleet)
         feed.stop()
 
     run_on_virtual_time(main)
@@ -274,9 +272,7 @@
         store.change(ResourceKind.ZONES)
         store.drop_history()
         await asyncio.sleep(0.5)
-        store.loses = lambda name, kind: False
-        await asyncio.sleep(CONTACT_S)
-        assert view_of(fleet) == content_of(store)
+        await assert_complete_once_calm(store, fleet)
         feed.stop()
 
     run_on_virtual_time(main)
