Log the checks and answers that void a loss of a server

Change: both are logged with the fingerprints; the line of an end states how long ago the connection was lost. No decision changes.

--- a/ibismount/crash_guard.py
+++ b/ibismount/crash_guard.py
@@ -106,6 +106,14 @@
             fingerprint
         ):
             self._quarantine.record_answer(self._now(), fingerprint)
+            log.info(
+                'suspect request cleared by an answer',
+                extra={
+                    'server': server.id,
+                    'service': server.service,
+                    'fingerprint': fingerprint,
+                },
+            )
 
     def record_served(self, fingerprint: str) -> None:
         """Note that servers ran all parts of a request and answered them."""
@@ -126,6 +134,7 @@
                 'service': server.service,
                 'incarnation': server.incarnation,
                 'fingerprints': sorted(running),
+                'lost_s_ago': round(self._now() - lost_at, 3),
             },
         )
         if running:
--- a/ibismount/server_liveness.py
+++ b/ibismount/server_liveness.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ibismount.logs import part_logger
 from ibismount.server_table import Server
 
 __all__ = ('LivenessOptions', 'ReachabilityProbe', 'ServerLiveness')
 
+log = part_logger('dispatch')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LivenessOptions:
@@ -116,3 +119,13 @@
             self._checks.pop(server.id)
         if not reachable:
             self._on_ended(server, check.running, check.lost_at)
+            return
+        log.info(
+            'backend server that broke a connection can be reached',
+            extra={
+                'server': server.id,
+                'service': server.service,
+                'incarnation': server.incarnation,
+                'fingerprints': sorted(check.running),
+            },
+        )
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -176,6 +176,28 @@
     run_on_virtual_time(main)
 
 
+def test_log_tells_why_a_loss_does_not_count(caplog):
+    """Losses that an answer or a check voided left no trace in the logs."""
+    caplog.set_level('INFO', 'ibismount.dispatch')
+
+    async def main():
+        harness = DispatchHarness()
+        make_suspect(harness, b'/search/x', 's3/a')
+        await harness.submit_and_wait()
+        harness.servers['lookup-z0'].choose_reply = lambda exchange: 'reset'
+        await harness.submit_and_wait(b'/lookup/x', deadline_ms=4000)
+        await asyncio.sleep(1)
+
+    run_on_virtual_time(main)
+    records = {record.message: record for record in caplog.records}
+    cleared = records['dispatch: suspect request cleared by an answer']
+    assert cleared.service == 's3'
+    reachable = records[
+        'dispatch: backend server that broke a connection can be reached'
+    ]
+    assert reachable.server == 'lookup-z0'
+
+
 def test_silent_servers_are_no_evidence_against_their_requests():
     """A node cut off from servers quarantined what its callers repeated."""
 
