Add failing tests of requests that go on crashing servers

A request that crashes servers reaches more than three late tries - if callers repeat it sooner than all nodes know of an end (0.4 s), - if its servers are back before the check of 0.2 s, - if all nodes end at once after it was quarantined, - if a server in trouble answers it with status 500 between two ends.

--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -52,11 +52,15 @@
 
     Args:
         path: Directory for the settings files.
+        crash_down_s: How long a server that crashed is down, in seconds.
     """
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(
+        self, path: pathlib.Path, *, crash_down_s: float = CRASH_DOWN_S
+    ) -> None:
         """Prepare the fleet; `start` starts it."""
         self.path = path
+        self._crash_down_s = crash_down_s
         self.store = ObjectStore()
         self.servers: list[ShardServer] = []
         self.edges: dict[str, asyncio.subprocess.Process] = {}
@@ -128,7 +132,7 @@
         task.add_done_callback(self._background_tasks.discard)
 
     async def _restart_server(self, server: ShardServer) -> None:
-        await asyncio.sleep(CRASH_DOWN_S)
+        await asyncio.sleep(self._crash_down_s)
         await self.replace(server)
 
     async def replace(self, server: ShardServer) -> None:
@@ -228,6 +232,17 @@
         self._background_tasks.add(reader)
         reader.add_done_callback(self._background_tasks.discard)
 
+    async def restart_all_edges(self) -> None:
+        """Kill all edge processes at once, and start them again."""
+        for ip in self.ips:
+            self.edges[ip].kill()
+        for ip in self.ips:
+            await self.edges[ip].wait()
+        for ip in self.ips:
+            await self.start_edge(ip)
+        for ip in self.ips:
+            await self.wait_until_ready(ip)
+
     async def _read_logs(
         self, ip: str, process: asyncio.subprocess.Process
     ) -> None:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,6 +1,7 @@
 """Requests that end backend servers are stopped; others are not."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -13,6 +14,10 @@
 from tests.virtual_time import run_on_virtual_time
 
 DOWN_S = 1.5
+# Once a request has ended three servers, and `CONTACT_S` later, at most this many
+# further tries of it may end servers.
+MAX_LATE_TRIES = 3
+CONTACT_S = 4.0
 
 
 def crash_on(harness, *paths):
@@ -176,6 +181,29 @@
     run_on_virtual_time(main)
 
 
+def test_failures_of_servers_do_not_clear_a_request_that_ends_others():
+    """A status 500 does not prove that the server ran the request."""
+
+    async def main():
+        harness = DispatchHarness()
+        ended = crash_on(harness, b'/lookup/x')
+        harness.servers['lookup-z2'].choose_reply = lambda exchange: 'fail'
+        late_from = math.inf
+        late_tries = 0
+        for _ in range(12):
+            sent_at = asyncio.get_running_loop().time()
+            ended_before = len(ended)
+            await harness.submit_and_wait(b'/lookup/x', deadline_ms=4000)
+            if sent_at >= late_from:
+                late_tries += len(ended) > ended_before
+            elif len(ended) >= 3:
+                late_from = min(late_from, sent_at + CONTACT_S)
+            await asyncio.sleep(2)
+        assert late_tries <= MAX_LATE_TRIES
+
+    run_on_virtual_time(main)
+
+
 def test_log_tells_why_a_loss_does_not_count(caplog):
     """Losses that an answer or a check voided left no trace in the logs."""
     caplog.set_level('INFO', 'ibismount.dispatch')
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -10,7 +10,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from standins.edge_fleet import ROOT, SHARDS, EdgeFleet
+from standins.edge_fleet import CRASH_DOWN_S, ROOT, SHARDS, EdgeFleet
 
 # Nodes are up to date again after this time without a fault of the store.
 CONTACT_S = 4.0
@@ -24,9 +24,9 @@
 LIMIT_WINDOW_S = 4.0
 
 
-def run_test(tmp_path, main, **options):
+def run_test(tmp_path, main, *, crash_down_s=CRASH_DOWN_S, **options):
     async def run_with_fleet():
-        fleet = EdgeFleet(tmp_path)
+        fleet = EdgeFleet(tmp_path, crash_down_s=crash_down_s)
         try:
             await fleet.start(**options)
             async with httpx.AsyncClient() as client:
@@ -354,31 +354,95 @@
     run_test(tmp_path, main)
 
 
-@pytest.mark.parametrize(
+CRASHING_REQUESTS = pytest.mark.parametrize(
     ('path', 'method'), [('/search/crash', 'GET'), ('/booking1/crash', 'POST')]
 )
+
+
+@CRASHING_REQUESTS
 def test_request_that_ended_servers_is_stopped_at_every_node(
     tmp_path, path, method
 ):
     """A request that crashes servers must not crash more at each repeat."""
 
     async def main(fleet, client):
-        loop = asyncio.get_running_loop()
-        tries = []
-        for number in range(14):
-            ip = fleet.ips[number % len(fleet.ips)]
-            sent_at = loop.time()
-            request_id, _ = await fleet.send_new_request(
-                client, ip, path, method
-            )
-            tries.append((request_id, sent_at))
+        repeats = CrashingRequest(fleet, client, path, method)
+        for _ in range(14):
+            await repeats.send()
             await asyncio.sleep(0.8)
-        late_from = fleet.crash_times()[2] + CONTACT_S
-        late = [request_id for request_id, at in tries if at >= late_from]
+        repeats.check_late_tries()
+
+    run_test(tmp_path, main)
+
+
+class CrashingRequest:
+    """A request that crashes servers, repeated at each node in turn."""
+
+    def __init__(self, fleet, client, path, method):
+        self.fleet = fleet
+        self.client = client
+        self.path = path
+        self.method = method
+        self.tries = []
+
+    async def send(self):
+        ip = self.fleet.ips[len(self.tries) % len(self.fleet.ips)]
+        sent_at = asyncio.get_running_loop().time()
+        request_id, _ = await self.fleet.send_new_request(
+            self.client, ip, self.path, self.method
+        )
+        self.tries.append((request_id, sent_at))
+
+    def check_late_tries(self):
+        late_from = self.fleet.crash_times()[2] + CONTACT_S
+        late = [name for name, at in self.tries if at >= late_from]
         assert len(late) > MAX_LATE_TRIES
-        reached = [name for name in late if fleet.count_runs(name)]
+        reached = [name for name in late if self.fleet.count_runs(name)]
         assert len(reached) <= MAX_LATE_TRIES
 
+
+@CRASHING_REQUESTS
+def test_servers_that_restart_at_once_count_as_ended(tmp_path, path, method):
+    """A server that could be reached again 0.2 s later did not count."""
+
+    async def main(fleet, client):
+        repeats = CrashingRequest(fleet, client, path, method)
+        for _ in range(14):
+            await repeats.send()
+            await asyncio.sleep(0.8)
+        repeats.check_late_tries()
+
+    run_test(tmp_path, main, crash_down_s=0.1)
+
+
+@CRASHING_REQUESTS
+def test_quarantine_outlives_the_end_of_all_nodes(tmp_path, path, method):
+    """Each end of all nodes let a request crash servers three more times."""
+
+    async def main(fleet, client):
+        repeats = CrashingRequest(fleet, client, path, method)
+        for _ in range(3):
+            for _ in range(6):
+                await repeats.send()
+                await asyncio.sleep(0.8)
+            await fleet.restart_all_edges()
+        repeats.check_late_tries()
+
+    run_test(tmp_path, main)
+
+
+def test_immediate_repeats_at_other_nodes_reach_few_servers(tmp_path):
+    """All nodes knew of an end after 0.4 s; callers repeat sooner."""
+
+    async def main(fleet, client):
+        repeats = CrashingRequest(fleet, client, '/search/crash', 'GET')
+        await repeats.send()
+        await asyncio.sleep(CONTACT_S + 0.5)
+        for _ in range(20):
+            await repeats.send()
+            await asyncio.sleep(0.05)
+        repeats.check_late_tries()
+
     run_test(tmp_path, main)
 
 
