Tell all nodes of the end of a server within milliseconds

What callers saw: a request that crashes servers was sent to further ones by nodes that did not know yet.

Cause: an end was known 0.2 s after the loss, told at the next tick of 0.1 s, and passed on at the ticks of the nodes between: 0.3 to 0.5 s in all.

Change: a server is checked 3 ms after the loss. If it refuses a connection it has ended; only one that can be reached is checked again after 0.2 s. News of the quarantine are sent 5 ms later and passed on in the same way.

Why this works: a caller repeats only after it has an answer, which takes longer than the check and two links.

--- a/ibismount/crash_guard.py
+++ b/ibismount/crash_guard.py
@@ -43,7 +43,6 @@
         self._quarantine = quarantine
         self._now = now
         self._liveness = ServerLiveness(probe, self._record_end)
-        self.ended_servers = 0
 
     @property
     def is_idle(self) -> bool:
@@ -55,6 +54,11 @@
         """Return whether answers may clear a request."""
         return self._liveness.is_checking or not self.is_idle
 
+    @property
+    def ended_servers(self) -> int:
+        """Return the number of servers that ended while they had requests."""
+        return self._liveness.ended_count
+
     @property
     def quarantined_count(self) -> int:
         """Return the number of quarantined requests."""
@@ -126,7 +130,6 @@
     def _record_end(
         self, server: Server, running: dict[str, float], lost_at: float
     ) -> None:
-        self.ended_servers += 1
         log.warning(
             'backend server ended while it had requests',
             extra={
@@ -146,6 +149,12 @@
     return name.partition('/')[0]
 
 
-def make_quarantine() -> Quarantine:
-    """Return the quarantine of a node that has lost no server."""
-    return Quarantine(options=_QUARANTINE_OPTIONS)
+def make_quarantine(
+    on_news: Callable[[], object] | None = None,
+) -> Quarantine:
+    """Return the quarantine of a node that has lost no server.
+
+    Args:
+        on_news: Called when there is something to tell other nodes.
+    """
+    return Quarantine(options=_QUARANTINE_OPTIONS, on_news=on_news)
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -96,7 +96,7 @@
         )
         traffic = ZoneTraffic(cfg.node.zone)
         own = _own_member(cfg)
-        quarantine = make_quarantine()
+        quarantine = make_quarantine(lambda: self.peers.share_soon())
         limits = ServerLimits()
         self.peers = Peers(
             own,
--- a/ibismount/peers.py
+++ b/ibismount/peers.py
@@ -221,7 +221,7 @@
             self._fleet.changed_revisions,
         )
 
-    def _send_shared(self, now: float) -> None:
+    def send_shared(self, now: float) -> None:
         """Pass on the shared state that is new since the last call."""
         messages = self._shared.take_outgoing(now)
         if not messages:
@@ -329,7 +329,7 @@
         self._update_links(now)
         self._update_subscriptions(now)
         self._send_member_updates()
-        self._send_shared(now)
+        self.send_shared(now)
         self._confirm_view()
         current_links = sum(
             self._is_current(now, link) for link in self._links.values()
--- a/ibismount/quarantine.py
+++ b/ibismount/quarantine.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from ibismount.loss_report import LossReport, QuarantineEntry
 
@@ -88,6 +88,8 @@
         unix_offset: Unix time minus the clock of ``now``, in seconds. Times
             in messages are Unix times; the clocks of the nodes must agree to
             a fraction of a second.
+        on_news: Called after each loss, answer or quarantine that this node
+            did not know.
     """
 
     def __init__(
@@ -95,9 +97,11 @@
         *,
         options: QuarantineOptions = _DEFAULTS,
         unix_offset: float = 0,
+        on_news: Callable[[], object] | None = None,
     ) -> None:
         """Start with no suspects."""
         self._options = options
+        self._on_news = on_news
         self._unix_offset = unix_offset
         self._suspects: collections.OrderedDict[str, _Suspect] = (
             collections.OrderedDict()
@@ -197,11 +201,14 @@
         sorted_reports = sorted(reports, key=lambda report: report.at)
         for report in sorted_reports:
             self._record_lost_servers(report)
-        return [
+        new_reports = [
             report
             for report in sorted_reports
             if report.at > oldest and self._apply_report(report)
         ]
+        if new_reports:
+            self._tell_news()
+        return new_reports
 
     def standing_reports(self) -> list[LossReport]:
         """Return reports of the losses and answers of all suspect requests."""
@@ -248,6 +255,7 @@
             current = self._entries.get(entry.fingerprint)
             if current is None or current.expires_at < entry.expires_at:
                 self._entries[entry.fingerprint] = entry
+                self._tell_news()
         while len(self._entries) > self._options.max_entries:
             self._entries.pop(min(self._entries, key=self._expires_at))
 
@@ -265,6 +273,11 @@
         del self._reports[: -self._options.max_suspects]
         self._record_lost_servers(report)
         self._apply_report(report)
+        self._tell_news()
+
+    def _tell_news(self) -> None:
+        if self._on_news is not None:
+            self._on_news()
 
     def _record_lost_servers(self, report: LossReport) -> None:
         for server in report.servers:
--- a/ibismount/server_liveness.py
+++ b/ibismount/server_liveness.py
@@ -17,8 +17,11 @@
 class LivenessOptions:
     """Times in seconds."""
 
+    # The first check follows this long after a loss. Other nodes must know of an
+    # end before a caller repeats its request there.
+    first_check_delay_s: float = 0.003
     # All connections to a server that ended are lost within this time after
-    # the first one. Most requests that it had are answered elsewhere by then.
+    # the first one, so a server that can be reached is checked again then.
     check_delay_s: float = 0.2
 
 
@@ -40,6 +43,7 @@
     lost_at: float
     # Times at which the requests were sent, by fingerprint.
     running: dict[str, float]
+    ended: bool = False
     task: asyncio.Task | None = None
 
 
@@ -54,7 +58,8 @@
         probe: Checks whether a server can be reached.
         on_ended: Called with a server that ended, the times at which the
             requests that ran on it were sent, by fingerprint, and the time of
-            the loss. Requests that were answered since are left out.
+            the loss. Requests that were answered since are left out. Called
+            again with each request whose connection is lost after the check.
         options: Times.
     """
 
@@ -70,15 +75,18 @@
         self._options = options
         self._checks: dict[str, _Check] = {}
 
+        self.ended_count = 0
+
     @property
     def is_checking(self) -> bool:
         """Return whether a check is under way."""
-        return bool(self._checks)
+        return any(not check.ended for check in self._checks.values())
 
     def has_check_for(self, fingerprint: str) -> bool:
         """Return whether a server that had a request is being checked."""
         return any(
-            fingerprint in check.running for check in self._checks.values()
+            fingerprint in check.running and not check.ended
+            for check in self._checks.values()
         )
 
     def record_loss(
@@ -92,13 +100,17 @@
             sent_at: When it was sent, in seconds.
         """
         check = self._checks.get(server.id)
-        if check is not None:
+        if check is None:
+            loop = asyncio.get_running_loop()
+            check = _Check(server, loop.time(), {fingerprint: sent_at})
+            self._checks[server.id] = check
+            loop.call_later(
+                self._options.first_check_delay_s, self._start, check
+            )
+        elif check.ended:
+            self._on_ended(server, {fingerprint: sent_at}, check.lost_at)
+        else:
             check.running[fingerprint] = sent_at
-            return
-        loop = asyncio.get_running_loop()
-        check = _Check(server, loop.time(), {fingerprint: sent_at})
-        self._checks[server.id] = check
-        loop.call_later(self._options.check_delay_s, self._start, check)
 
     def record_answer(self, server: Server, fingerprint: str) -> None:
         """Note that another server of the service answered a request."""
@@ -110,22 +122,32 @@
         check.task = asyncio.get_running_loop().create_task(self._run(check))
 
     async def _run(self, check: _Check) -> None:
-        server = check.server
+        options = self._options
         try:
-            reachable = await self._probe.is_reachable(
-                (server.host, server.port)
+            await self._probe_server(check)
+            await asyncio.sleep(
+                options.check_delay_s - options.first_check_delay_s
             )
+            if not check.ended:
+                await self._probe_server(check)
         finally:
-            self._checks.pop(server.id)
-        if not reachable:
-            self._on_ended(server, check.running, check.lost_at)
+            self._checks.pop(check.server.id)
+        if check.ended:
             return
         log.info(
             'backend server that broke a connection can be reached',
             extra={
-                'server': server.id,
-                'service': server.service,
-                'incarnation': server.incarnation,
+                'server': check.server.id,
+                'service': check.server.service,
+                'incarnation': check.server.incarnation,
                 'fingerprints': sorted(check.running),
             },
         )
+
+    async def _probe_server(self, check: _Check) -> None:
+        server = check.server
+        address = (server.host, server.port)
+        if not await self._probe.is_reachable(address):
+            check.ended = True
+            self.ended_count += 1
+            self._on_ended(server, check.running, check.lost_at)
--- a/ibismount/view_links.py
+++ b/ibismount/view_links.py
@@ -33,6 +33,9 @@
     HEARTBEATS = b'h'
 
 
+# Shared state that can't wait for the next tick is sent after this time, in
+# seconds, so that one message tells what was found out together.
+SHARE_DELAY_S = 0.005
 _SUBSCRIPTION_BYTES = frozenset(item.value for item in Subscription)
 
 
@@ -62,6 +65,18 @@
         self.subscribers: set[Subscriber] = set()
         self._shared = shared
         self._now = now
+        self._share_timer: asyncio.TimerHandle | None = None
+
+    def share_soon(self) -> None:
+        """Send new shared state without waiting for the next tick."""
+        if self._share_timer is None:
+            self._share_timer = asyncio.get_running_loop().call_later(
+                SHARE_DELAY_S, self._share_now
+            )
+
+    def _share_now(self) -> None:
+        self._share_timer = None
+        self.send_shared(self._now())
 
     def merge_shared(self, frame: Frame) -> bool:
         """Apply shared state; return False if the frame is of another kind."""
@@ -85,6 +100,10 @@
     def start_subscription(self, subscriber: 'Subscriber') -> None:
         """Send what a subscriber needs first."""
 
+    @abc.abstractmethod
+    def send_shared(self, now: float) -> None:
+        """Pass on the shared state that is new since the last call."""
+
     @abc.abstractmethod
     def count_sent(self, host: str, size: int) -> None:
         """Count bytes that were sent to a subscriber."""
--- a/tests/test_server_liveness.py
+++ b/tests/test_server_liveness.py
@@ -41,6 +41,42 @@
     assert probe.count == 1
 
 
+def test_end_is_known_before_a_caller_can_repeat_its_request():
+    """It was known after 0.2 s; connections that are lost later count too."""
+    ended = []
+
+    async def main():
+        liveness = ServerLiveness(
+            FakeProbe(reachable=False), lambda *args: ended.append(args)
+        )
+        liveness.record_loss(SERVER, 'a', 1.0)
+        assert liveness.is_checking
+        await asyncio.sleep(0.01)
+        assert ended == [(SERVER, {'a': 1.0}, 1000.0)]
+        assert not liveness.is_checking
+        liveness.record_loss(SERVER, 'b', 2.0)
+        assert ended[1:] == [(SERVER, {'b': 2.0}, 1000.0)]
+        assert liveness.ended_count == 1
+
+    run_on_virtual_time(main)
+
+
+def test_server_that_ends_slowly_is_checked_again():
+    """It still accepts connections when the first of them is lost."""
+    probe = FakeProbe(reachable=True)
+    ended = []
+
+    async def main():
+        liveness = ServerLiveness(probe, lambda *args: ended.append(args))
+        liveness.record_loss(SERVER, 'a', 1.0)
+        await asyncio.sleep(0.1)
+        probe.reachable = False
+        await asyncio.sleep(0.2)
+
+    run_on_virtual_time(main)
+    assert ended == [(SERVER, {'a': 1.0}, 1000.0)]
+
+
 def test_server_that_reset_a_connection_has_not_ended():
     """Servers that lose single answers must not count as ended."""
     assert record_losses(FakeProbe(reachable=True)) == []
