Let only answers that prove a run clear a suspect request

What callers saw: with a server in trouble among them, a request that crashes servers was never quarantined; one whose first shard failed was sent to all.

Cause: any answer counted as proof that a server had run the request, also a status 500, which a server in trouble sends without having begun, and a success without a signature.

Change: a success with a signature or a status below 500 is conclusive; only such an answer clears a request, ends the wait of the other parts of a suspect search, and shows that lost servers have another cause.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -31,7 +31,6 @@
 from ibismount.server_table import Server
 from ibismount.wait_queues import WaitQueues, estimate_wait_s
 from ibismount.wire_format import (
-    RAN_KINDS,
     AnswerKind,
     CallerRequest,
     Outcome,
@@ -353,7 +352,7 @@
             health.record_failure(now)
         if answer.kind is not AnswerKind.OTHER_SERVER:
             self._record_statements(now, call.server, answer)
-        if answer.kind in RAN_KINDS and self.crash_guard.expects_answers:
+        if answer.is_conclusive and self.crash_guard.expects_answers:
             self.crash_guard.record_answer(call.server, job.req.fingerprint)
         if answer.kind is not AnswerKind.ANSWER:
             self._log_attempt(job, call, answer.kind.value)
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -17,7 +17,6 @@
 from ibismount.top_k import merge_top_k
 from ibismount.wait_queues import Waiter
 from ibismount.wire_format import (
-    RAN_KINDS,
     AnswerKind,
     CallerRequest,
     Outcome,
@@ -230,7 +229,7 @@
         self._close_call(call, raw.received_bytes)
         dispatch.record_answer(self, call, answer)
         attempt, tracker = call.attempt, self.tracker
-        if answer.kind in RAN_KINDS:
+        if answer.is_conclusive:
             self._has_run = True
             for part in self._order.release(attempt.part):
                 self._try_send(part)
--- a/ibismount/send_order.py
+++ b/ibismount/send_order.py
@@ -11,7 +11,7 @@
     """Send all parts at once, or one alone if the request is suspect.
 
     A suspect request may end each server that runs it. Its first part is a
-    canary: the others wait until a server has run it.
+    canary: the others wait until a server has run it to its end.
 
     Args:
         suspect_services: Services whose servers ended under the request
--- a/ibismount/wire_format.py
+++ b/ibismount/wire_format.py
@@ -9,13 +9,13 @@
 import dataclasses
 import enum
 import hashlib
+import http
 
 from ibismount.errors import ErrorCode
 from ibismount.http_client import RawResponse
 from ibismount.server_table import Server
 
 __all__ = (
-    'RAN_KINDS',
     'AnswerKind',
     'CallerRequest',
     'Outcome',
@@ -94,12 +94,6 @@
     OTHER_REQUEST = 'foreign'
 
 
-# Answers of servers that ran the request to its end.
-RAN_KINDS = frozenset(
-    (AnswerKind.ANSWER, AnswerKind.FAILURE, AnswerKind.GARBLED)
-)
-
-
 @dataclasses.dataclass(slots=True)
 class ServerAnswer:
     """One answer of a backend server.
@@ -121,6 +115,16 @@
     pause_s: float = 0
     leaving: bool = False
 
+    @property
+    def is_conclusive(self) -> bool:
+        """Return whether the server certainly ran the request to its end.
+
+        A server in trouble may fail a request that it has not begun to run.
+        """
+        if self.kind is AnswerKind.FAILURE:
+            return self.raw.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+        return self.kind is AnswerKind.ANSWER
+
 
 class OutcomeKind(enum.Enum):
     """How a request ends for its caller."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -204,6 +204,21 @@
     run_on_virtual_time(main)
 
 
+def test_failure_of_one_shard_does_not_send_a_suspect_search_to_all():
+    """A status 500 of the first shard let the search end one of each other."""
+
+    async def main():
+        harness = DispatchHarness()
+        ended = crash_on(harness, b'/search/x')
+        make_suspect(harness, b'/search/x', 's3/a')
+        for fake in harness.servers_of('s3'):
+            fake.choose_reply = lambda exchange: 'fail'
+        await harness.submit_and_wait()
+        assert len(ended) <= 1
+
+    run_on_virtual_time(main)
+
+
 def test_log_tells_why_a_loss_does_not_count(caplog):
     """Losses that an answer or a check voided left no trace in the logs."""
     caplog.set_level('INFO', 'ibismount.dispatch')
