Count a server as ended whose entry names a later lifetime

What callers saw: a request that crashes servers reached them at every try if they were back within 0.2 s; each try ended one.

Cause: a server that could be reached 0.2 s after the loss did not count as ended, whether it was the same lifetime, a new one, or another server at its address.

A later lifetime of the server, or another server at its address, shows that it had ended. Answers void the loss as before.

--- a/ibismount/crash_guard.py
+++ b/ibismount/crash_guard.py
@@ -30,6 +30,7 @@
         quarantine: Holds the losses and the quarantined requests; nodes share
             them.
         probe: Checks whether a server can be reached.
+        is_replaced: Returns whether an entry shows that a server has ended.
         now: Clock in seconds.
     """
 
@@ -37,12 +38,16 @@
         self,
         quarantine: Quarantine,
         probe: ReachabilityProbe,
+        *,
+        is_replaced: Callable[[Server], bool],
         now: Callable[[], float],
     ) -> None:
         """Start without losses."""
         self._quarantine = quarantine
         self._now = now
-        self._liveness = ServerLiveness(probe, self._record_end)
+        self._liveness = ServerLiveness(
+            probe, self._record_end, is_replaced=is_replaced
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -52,7 +57,7 @@
     @property
     def expects_answers(self) -> bool:
         """Return whether answers may clear a request."""
-        return self._liveness.is_checking or not self.is_idle
+        return self._liveness.expects_answers or not self.is_idle
 
     @property
     def ended_servers(self) -> int:
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -111,7 +111,12 @@
         self._caller_elapsed = CallerElapsed()
         self.wait_queues = WaitQueues()
         self._refuses_new = False
-        self.crash_guard = CrashGuard(quarantine, pool, self.now)
+        self.crash_guard = CrashGuard(
+            quarantine,
+            pool,
+            is_replaced=fleet.servers.is_replaced,
+            now=self.now,
+        )
         # Requests under way at the servers of each service.
         self._in_flight: collections.Counter[str] = collections.Counter()
 
--- a/ibismount/server_table.py
+++ b/ibismount/server_table.py
@@ -53,6 +53,8 @@
         """Start empty."""
         self._rows: dict[str, _Row] = {}
         self._by_service: dict[str, dict[str, Server]] = {}
+        # The server that registered last at each address.
+        self._by_address: dict[tuple[str, int], Server] = {}
         # Newest revision of each removed entry, and when it was removed. An
         # entry that is not newer than its tombstone is ignored.
         self._tombstones: dict[str, tuple[int, float]] = {}
@@ -73,6 +75,14 @@
         row = self._rows.get(server_id)
         return row.server if row else None
 
+    def is_replaced(self, server: Server) -> bool:
+        """Tell whether a later lifetime, or another server, took its address."""
+        row = self._rows.get(server.id)
+        if row is not None and row.server.incarnation > server.incarnation:
+            return True
+        holder = self._by_address.get((server.host, server.port))
+        return holder is not None and holder.id != server.id
+
     def all_servers(self) -> list[Server]:
         """Return every server, including leaving ones."""
         return [row.server for row in self._rows.values()]
@@ -107,6 +117,7 @@
                 return False
             self._rows[server.id] = _Row(server, now + server.cold_s)
             self._index(server)
+            self._record_address(server)
             return True
         row.gone_at = None
         current = row.server
@@ -115,10 +126,12 @@
         if server.incarnation < current.incarnation:
             return False
         self._unindex(current)
+        self._forget_address(current)
         self._carry_leaving(now, current, server)
         row.server = server
         row.cold_until = now + server.cold_s
         self._index(server)
+        self._record_address(server)
         return True
 
     def remove(
@@ -200,9 +213,22 @@
     def _remove_row(self, now: float, server_id: str, revision: int) -> None:
         row = self._rows.pop(server_id)
         self._unindex(row.server)
+        self._forget_address(row.server)
         newest = max(revision, row.server.revision)
         self._tombstones[server_id] = (newest, now)
 
+    def _record_address(self, server: Server) -> None:
+        address = (server.host, server.port)
+        holder = self._by_address.get(address)
+        if holder is None or holder.revision < server.revision:
+            self._by_address[address] = server
+
+    def _forget_address(self, server: Server) -> None:
+        address = (server.host, server.port)
+        holder = self._by_address.get(address)
+        if holder is not None and holder.id == server.id:
+            self._by_address.pop(address)
+
     def _carry_leaving(self, now: float, old: Server, new: Server) -> None:
         """Let a new lifetime leave if it was the one that had said so.
 
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -127,3 +127,30 @@
     assert ids(table) == []
     table.upsert(9, dataclasses.replace(SERVER, incarnation=2, revision=10))
     assert ids(table) == ['i-1']
+
+
+def test_server_is_replaced_by_a_later_lifetime_or_at_its_address():
+    """A server that ended could be reached again before its entry lapsed."""
+    table = ServerTable()
+    table.upsert(0, SERVER)
+    assert not table.is_replaced(SERVER)
+    table.upsert(1, dataclasses.replace(SERVER, incarnation=7, revision=6))
+    assert table.is_replaced(SERVER)
+    other = dataclasses.replace(SERVER, id='i-2', revision=7)
+    table.upsert(2, other)
+    assert table.is_replaced(table.get('i-1'))
+    assert not table.is_replaced(other)
+    table.remove(3, 'i-1', 8)
+    assert table.is_replaced(SERVER)
+
+
+def test_server_that_moved_does_not_hold_its_former_address():
+    """The next server there would count as the end of the wrong one."""
+    table = ServerTable()
+    table.upsert(0, SERVER)
+    moved = dataclasses.replace(SERVER, port=81, revision=6)
+    table.upsert(1, moved)
+    table.upsert(2, dataclasses.replace(SERVER, id='i-2', revision=7))
+    assert not table.is_replaced(moved)
+    table.remove(3, 'i-2', 8)
+    assert not table.is_replaced(SERVER)
