Keep quarantined requests in the store

What callers saw: after all nodes had ended at once, a request that crashes servers crashed them at three more tries.

Cause: the quarantine lived in the memory of the nodes and on the links between them.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -126,6 +126,7 @@
         rng: Adds jitter to the backoff.
         options: Times.
         on_current: Called each time that ``current`` becomes true.
+        on_start: Called each time that the feed is started.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         rng: random.Random,
         options: ChangeFeedOptions = _DEFAULT_OPTIONS,
         on_current: Callable[[], None] | None = None,
+        on_start: Callable[[], None] | None = None,
     ) -> None:
         """Start without contact to the store."""
         self._reader = reader
@@ -145,6 +147,7 @@
         self._rng = rng
         self._options = options
         self._on_current = on_current
+        self._on_start = on_start
         self._was_current = False
         self._watch_tasks: dict[ResourceKind, asyncio.Task] = {}
         self._last_failure_at = -options.removal_delay_window_s
@@ -198,6 +201,8 @@
             self._start_watch(kind)
         loop = asyncio.get_running_loop()
         self._probe_task = loop.create_task(self._probe_store())
+        if self._on_start is not None:
+            self._on_start()
 
     def stop(self) -> None:
         """Stop watching; the view stays as it is."""
--- a/ibismount/edge.py
+++ b/ibismount/edge.py
@@ -36,9 +36,11 @@
 from ibismount.node_share import NodeShare, NodeShareCalculator
 from ibismount.peers import Peers
 from ibismount.placement import Placement
+from ibismount.platform.quarantine_entries import PlatformQuarantineStore
 from ibismount.platform.store import StoreClient
 from ibismount.platform.store_reader import PlatformStoreReader
 from ibismount.platform.wire import PlatformWireFormat
+from ibismount.quarantine_backup import QuarantineBackup
 from ibismount.quarantine_sharing import QuarantineSharing
 from ibismount.routes import RouteTable
 from ibismount.server_connection_pool import ServerConnectionPool
@@ -93,10 +95,18 @@
             now=loop.time,
             rng=rng,
             on_current=lambda: self.peers.announce_current(),
+            on_start=lambda: self.quarantine_backup.wake(),
         )
         traffic = ZoneTraffic(cfg.node.zone)
         own = _own_member(cfg)
-        quarantine = make_quarantine(lambda: self.peers.share_soon())
+        quarantine = make_quarantine(self._on_quarantine_news)
+        self.quarantine_backup = QuarantineBackup(
+            quarantine,
+            PlatformQuarantineStore(self.store),
+            follows_store=lambda: self.feed.running,
+            now=loop.time,
+            rng=rng,
+        )
         limits = ServerLimits()
         self.peers = Peers(
             own,
@@ -224,10 +234,14 @@
                 await open_listener(address, self._status_endpoint)
             )
         await self.peers.start()
-        housekeeping = asyncio.create_task(self._run_housekeeping())
+        tasks = [
+            asyncio.create_task(self._run_housekeeping()),
+            asyncio.create_task(self.quarantine_backup.run()),
+        ]
         log.info('started', extra={'node': self.cfg.node.name})
         await self._stopped.wait()
-        housekeeping.cancel()
+        for task in tasks:
+            task.cancel()
         self.feed.stop()
         log.info('stopped', extra={'store_calls': self.store.call_count})
 
@@ -288,6 +302,10 @@
         if isinstance(change, RouteTable):
             log.info('routes in force', extra={'version': change.version})
 
+    def _on_quarantine_news(self) -> None:
+        self.peers.share_soon()
+        self.quarantine_backup.wake()
+
     def _announce(self) -> None:
         if self.serving:
             self.peers.set_api_address(self.cfg.listen.callers)
@@ -328,6 +346,8 @@
                 settings_check_at = loop.time() + _SETTINGS_CHECK_S
                 self._reload_if_changed()
                 self.dispatch.prune_removed()
+                # Entries that have expired are removed.
+                self.quarantine_backup.wake()
             self._announce()
             for server in self.fleet.expire():
                 log.info('server gone', extra={'server': server.id})
--- a/ibismount/platform/store.py
+++ b/ibismount/platform/store.py
@@ -1,4 +1,4 @@
-"""HTTP client of the platform's store: lists, watches and probes."""
+"""HTTP client of the platform's store: lists, watches, probes and writes."""
 
 import asyncio
 import dataclasses
@@ -6,6 +6,8 @@
 from typing import Any, TypeVar
 from urllib.parse import quote
 
+import msgspec
+
 from ibismount.errors import ErrorCode, IbismountError
 from ibismount.http_client import (
     Connection,
@@ -80,7 +82,7 @@
 
 
 class StoreClient:
-    """Read from the platform's store.
+    """Read from the platform's store, and write to it.
 
     Connections are reused. A connection on which an answer was lost is closed,
     since no later answer arrives on it either.
@@ -151,18 +153,50 @@
         answer = await self._get(f'/objects/{kind}?serializable=1', timeout_s)
         return _decode(decode_list, answer).store_revision
 
+    async def create(
+        self, kind: str, name: str, spec: Any, *, timeout_s: float
+    ) -> None:
+        """Create an object; do nothing if there is one of its name.
+
+        Raises:
+            StoreError: The store did not answer. It may create the object
+                all the same.
+        """
+        body = msgspec.json.encode({'meta': {'name': name}, 'spec': spec})
+        await self._call('POST', f'/objects/{kind}', timeout_s, body)
+
+    async def delete(self, kind: str, name: str, *, timeout_s: float) -> None:
+        """Remove an object if there is one.
+
+        Raises:
+            StoreError: The store did not answer. It may remove the object all
+                the same.
+        """
+        path = f'/objects/{kind}/{quote(name, safe="")}'
+        await self._call('DELETE', path, timeout_s)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle_connections:
             self._idle_connections.pop().close()
 
     async def _get(self, path: str, timeout_s: float) -> RawResponse:
+        return await self._call('GET', path, timeout_s)
+
+    async def _call(
+        self, method: str, path: str, timeout_s: float, body: bytes = b''
+    ) -> RawResponse:
         host, port = self._address
-        request = f'GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n'
+        head = f'{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n'
+        if body:
+            head += (
+                'Content-Type: application/json\r\n'
+                f'Content-Length: {len(body)}\r\n'
+            )
         call = _PendingCall()
         conn = await self._acquire_connection()
         self.call_count += 1
-        conn.send(call, request.encode())
+        conn.send(call, f'{head}\r\n'.encode() + body)
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await call.fut
@@ -176,7 +210,7 @@
             raise HistoryGone(
                 f'the store no longer keeps the history of {path}'
             )
-        if answer.status not in {200, 404}:
+        if answer.status not in _DONE_STATUSES[method]:
             raise StoreError(
                 f'the store answered status {answer.status} to {path}'
             )
@@ -197,6 +231,13 @@
 
 
 _STATUS_GONE = 410
+# Statuses of calls that need not be repeated: a list of a kind that has no
+# objects, an object that exists already or that is gone.
+_DONE_STATUSES = {
+    'GET': {200, 404},
+    'POST': {200, 201, 409},
+    'DELETE': {200, 202, 204, 404},
+}
 
 
 def _decode(decode: Callable[[bytes], _PageT], answer: RawResponse) -> _PageT:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -143,6 +143,8 @@
         if method == 'PUT' and name:
             await self.put(kind, name, json.loads(body)['spec'])
             return 200, self._kinds[kind][name]
+        if method == 'POST' and not name:
+            return await self._create(kind, json.loads(body))
         if method == 'DELETE' and name:
             await self.delete(kind, name)
             return 200, {}
@@ -164,6 +166,13 @@
             )
         )
 
+    async def _create(self, kind: str, document: dict) -> tuple[int, object]:
+        name = document['meta']['name']
+        if self.contains(kind, name):
+            return 409, self._kinds[kind][name]
+        await self.put(kind, name, document['spec'])
+        return 200, self._kinds[kind][name]
+
     async def _record_event(self, kind: str, event: dict) -> None:
         self._history.append((self.revision, kind, event))
         if len(self._history) > HISTORY_LENGTH:
