Vary how servers return and end all nodes at once in the soak

The request that crashes servers is a search or a booking, its servers are down for 0.1, 1.5 or 3 s, and in two runs of five all nodes without another fault are killed at once. The node logs of a seed with findings are kept in a folder that the run prints. The choice of the other faults by seed is unchanged.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -15,6 +15,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
+import json
 import pathlib
 import random
 import signal
@@ -61,7 +63,14 @@
 FLOOD_PIECE = b'v' * 65536
 # A caller repeats a request that crashes servers with these pauses.
 CRASH_PAUSE_S = (0.2, 0.6)
-CRASH_PATH = f'/search{CRASH_SUFFIX}'
+CRASHING_REQUESTS = (
+    (f'/search{CRASH_SUFFIX}', 'GET'),
+    (f'/booking1{CRASH_SUFFIX}', 'POST'),
+)
+# How long servers are down after a crash; one of these in each run.
+CRASH_DOWN_S = (0.1, 1.5, 3.0)
+# Share of the runs in which all nodes end at once.
+HERD_KILL_SHARE = 0.4
 # How long servers state that they are in need or leave.
 STATEMENT_S = (1.5, 6.0)
 LIMITS_PER_S = (0.5, 4.0, 10.0)
@@ -104,6 +113,7 @@
     def __init__(self, fleet: EdgeFleet, seed: int) -> None:
         """Create a run without findings."""
         self._fleet = fleet
+        self._seed = seed
         self._rng = random.Random(seed)
         self._faulty_ips: set[str] = set()
         self._version = 1
@@ -130,6 +140,7 @@
             ]
             tasks.append(group.create_task(self._inject_faults()))
             tasks.append(group.create_task(self._repeat_crashing_request()))
+            tasks.append(group.create_task(self._kill_all_nodes(seconds)))
             await asyncio.sleep(seconds)
             for task in tasks:
                 task.cancel()
@@ -160,6 +171,7 @@
     async def _repeat_crashing_request(self) -> None:
         """Send a request that crashes servers again and again, at any node."""
         rng = random.Random(f'{self._rng.random()}crash')
+        path, method = rng.choice(CRASHING_REQUESTS)
         async with httpx.AsyncClient(timeout=4) as client:
             while True:
                 await asyncio.sleep(rng.uniform(*CRASH_PAUSE_S))
@@ -168,7 +180,7 @@
                 self._crash_ids.append(request_id)
                 with contextlib.suppress(httpx.HTTPError):
                     await self._fleet.send_request(
-                        client, ip, request_id, CRASH_PATH, 'GET'
+                        client, ip, request_id, path, method
                     )
 
     def _next_request_id(self, ip: str) -> str:
@@ -320,8 +332,8 @@
 
     async def _inject_faults(self) -> None:
         faults = (
-            self._kill_node,
-            self._stop_node,
+            functools.partial(self._restart_node, signal.SIGKILL),
+            functools.partial(self._restart_node, signal.SIGTERM),
             self._pause_node,
             self._break_store_link,
             self._lose_store_answers,
@@ -378,11 +390,24 @@
     def _disturb(self, ip: str) -> None:
         self.history.disturb(ip, asyncio.get_running_loop().time())
 
-    async def _kill_node(self) -> None:
-        await self._restart_node(signal.SIGKILL)
-
-    async def _stop_node(self) -> None:
-        await self._restart_node(signal.SIGTERM)
+    async def _kill_all_nodes(self, seconds: float) -> None:
+        """Kill all nodes at once in some runs; those with a fault come later."""
+        rng = random.Random(f'{self._seed}herd')
+        if rng.random() >= HERD_KILL_SHARE:
+            return
+        await asyncio.sleep(seconds * rng.uniform(0.2, 0.6))
+        ips = [ip for ip in self._fleet.ips if ip not in self._faulty_ips]
+        self._faulty_ips.update(ips)
+        for ip in ips:
+            self._disturb(ip)
+            self._fleet.edges[ip].kill()
+        await asyncio.gather(*(self._fleet.edges[ip].wait() for ip in ips))
+        for ip in ips:
+            await self._fleet.start_edge(ip)
+        for ip in ips:
+            await self._fleet.wait_until_ready(ip)
+            self._disturb(ip)
+            self._faulty_ips.discard(ip)
 
     async def _pause_node(self) -> None:
         ip = self._reserve_healthy_node()
@@ -585,7 +610,8 @@
 ) -> list[str]:
     """Run the soak with one seed; return its findings."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = EdgeFleet(pathlib.Path(folder))
+        crash_down_s = random.Random(f'{seed}down').choice(CRASH_DOWN_S)
+        fleet = EdgeFleet(pathlib.Path(folder), crash_down_s=crash_down_s)
         try:
             await fleet.start(nodes)
             run = SoakRun(fleet, seed)
@@ -593,9 +619,20 @@
         finally:
             await fleet.stop()
     print(f'seed {seed}: {len(run.sent)} requests, {run.findings or "good"}')
+    if run.findings:
+        print(f'seed {seed}: logs of the nodes in {_save_logs(fleet, seed)}')
     return run.findings
 
 
+def _save_logs(fleet: EdgeFleet, seed: int) -> pathlib.Path:
+    """Write the log lines of all nodes to a new folder; return it."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    for ip, records in fleet.logs.items():
+        lines = ''.join(f'{json.dumps(record)}\n' for record in records)
+        (folder / f'{ip}.log').write_text(lines)
+    return folder
+
+
 def main() -> int:
     """Run the given seeds; return 1 if any has findings, otherwise 0."""
     parser = argparse.ArgumentParser(description=__doc__)
