Drop the queued parts of a request that is quarantined meanwhile

What callers saw: a request that waited for a free server was sent to it although all nodes had quarantined the request by then, and ended the server.

Cause: whether a request may run was looked at when it arrived and before a retry, but not before a first send that had to wait.

Change: each send looks at it. A request that was not sent at all is answered 503 quarantined with the time that is left.

Result: test_part_that_waited_is_not_sent_after_the_quarantine failed before (the request ran and was answered deadline_exceeded), passes.

--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -154,7 +154,7 @@
             return None
         run_mode = self._run_mode(req)
         if run_mode is RunMode.REFUSED:
-            refusal = self._refuse_quarantined(req)
+            refusal = self.refuse_quarantined(req)
             self._record_refusal(req, refusal)
             on_outcome(refusal)
             return None
@@ -472,7 +472,8 @@
             return RunMode.NORMAL
         return self.crash_guard.run_mode(req.fingerprint)
 
-    def _refuse_quarantined(self, req: CallerRequest) -> Outcome:
+    def refuse_quarantined(self, req: CallerRequest) -> Outcome:
+        """Return the outcome of a quarantined request."""
         return Outcome(
             OutcomeKind.NOT_RUN,
             code=ErrorCode.QUARANTINED,
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -317,7 +317,7 @@
         """
         dispatch = self._dispatch
         ranked = dispatch.rank_servers(part)
-        if not ranked:
+        if not ranked or dispatch.is_quarantined(self.req):
             self._give_up(part)
             return False
         if extra and not dispatch.budget.try_withdraw(
@@ -502,6 +502,8 @@
         if not self.route.shards and self._last_failure is not None:
             return Outcome(OutcomeKind.RELAYED, relayed=self._last_failure)
         if not self.tracker.may_have_run:
+            if self._dispatch.is_quarantined(self.req):
+                return self._dispatch.refuse_quarantined(self.req)
             not_run_code = (
                 ErrorCode.DEADLINE_HOPELESS
                 if self._deadline_unreachable
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -7,6 +7,7 @@
 
 from ibismount.crash_guard import make_quarantine
 from ibismount.errors import ErrorCode
+from ibismount.loss_report import QuarantineEntry
 from ibismount.quarantine import RunMode
 from ibismount.quarantine_sharing import QuarantineSharing
 from ibismount.wire_format import OutcomeKind
@@ -181,6 +182,34 @@
     run_on_virtual_time(main)
 
 
+def test_part_that_waited_is_not_sent_after_the_quarantine():
+    """It was sent to the first server that had a free slot again."""
+
+    async def main():
+        harness = DispatchHarness()
+        for fake in harness.servers_of('lookup'):
+            fake.choose_reply = lambda exchange: 'nothing'
+        blocking_jobs = []
+        while not harness.dispatch.wait_queues:
+            _, job, _ = harness.submit(b'/lookup/y', deadline_ms=4000)
+            blocking_jobs.append(job)
+        req_id, job, fut = harness.submit(b'/lookup/x', deadline_ms=4000)
+        await asyncio.sleep(0.01)
+        now = asyncio.get_running_loop().time()
+        harness.dispatch.crash_guard._quarantine.adopt(
+            [QuarantineEntry(job.req.fingerprint, now + 600, '')]
+        )
+        for blocking_job in blocking_jobs:
+            blocking_job.caller_left()
+        outcome = await fut
+        assert outcome.kind is OutcomeKind.NOT_RUN
+        assert outcome.code is ErrorCode.QUARANTINED
+        assert outcome.retry_after_s > 500
+        assert not harness.runs_by_server(req_id)
+
+    run_on_virtual_time(main)
+
+
 def test_failures_of_servers_do_not_clear_a_request_that_ends_others():
     """A status 500 does not prove that the server ran the request."""
 
