Send suspect requests one at a time, and none that proves nothing

What callers saw: a request that had been answered before and then began to crash servers, sent by a herd of callers, crashed one server for each try that waited for it to come back. Losses within a second count once, so most of these tries added nothing to the evidence.

Cause: each suspect request sends its first part alone, but many of them did so at the same time; and a try was sent also while its loss would not have counted.

Change: the first part of a suspect request waits for that of another one of its fingerprint on this node, until it is answered or known to have ended its server. Once two losses count, a further try is refused until its own loss would count.

--- a/ibismount/crash_guard.py
+++ b/ibismount/crash_guard.py
@@ -45,6 +45,8 @@
         """Start without losses."""
         self._quarantine = quarantine
         self._now = now
+        # Requests whose first part is under way, by fingerprint.
+        self._canary_owners: dict[str, object] = {}
         self._liveness = ServerLiveness(
             probe, self._record_end, is_replaced=is_replaced
         )
@@ -78,16 +80,8 @@
         return self._quarantine.run_mode(self._now(), fingerprint)
 
     def time_left_s(self, fingerprint: str) -> float:
-        """Return how long a request stays quarantined, in seconds."""
-        now = self._now()
-        return max(
-            (
-                entry.expires_at - now
-                for entry in self._quarantine.active(now)
-                if entry.fingerprint == fingerprint
-            ),
-            default=0,
-        )
+        """Return how long a request is refused, in seconds."""
+        return self._quarantine.time_left_s(self._now(), fingerprint)
 
     def suspect_services(self, fingerprint: str) -> set[str]:
         """Return the services whose servers ended under a suspect request."""
@@ -96,6 +90,26 @@
             for name in self._quarantine.lost_servers(fingerprint)
         }
 
+    def claim_canary(self, fingerprint: str, owner: object) -> bool:
+        """Return whether a suspect request may send its first part.
+
+        Others of its fingerprint wait until the part is answered, or until it
+        is known whether it ended its server.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            owner: The request; it keeps the claim until `release_canary`.
+        """
+        holder = self._canary_owners.get(fingerprint)
+        if holder is None and not self.is_checking(fingerprint):
+            self._canary_owners[fingerprint] = owner
+        return self._canary_owners.get(fingerprint) is owner
+
+    def release_canary(self, fingerprint: str, owner: object) -> None:
+        """Let the next suspect request of a fingerprint send its first part."""
+        if self._canary_owners.get(fingerprint) is owner:
+            self._canary_owners.pop(fingerprint)
+
     def record_loss(
         self, server: Server, fingerprint: str, sent_at: float
     ) -> None:
--- a/ibismount/edge_dispatch.py
+++ b/ibismount/edge_dispatch.py
@@ -419,6 +419,7 @@
     ) -> None:
         """Remove a job; record its outcome, or None if the caller left."""
         self.jobs.discard(job)
+        self.crash_guard.release_canary(job.req.fingerprint, job)
         outcome_name = outcome.kind.value if outcome else 'caller_left'
         code = outcome.code.value if outcome and outcome.code else ''
         elapsed_s = self.now() - job.started_at
@@ -438,7 +439,7 @@
                 'code': code,
                 'in': job.tracker.answered_count,
                 'of': len(job.tracker.parts),
-                'missing': job.unanswered_parts(),
+                'missing': job.tracker.unanswered_parts(),
                 'elapsed_ms': round(elapsed_s * 1000, 1),
                 'deadline_ms': round(job.req.deadline_s * 1000),
                 'under_way': len(self.jobs),
--- a/ibismount/part_tracker.py
+++ b/ibismount/part_tracker.py
@@ -150,6 +150,14 @@
             return True
         return self.plan.idempotent and part.runs < self.plan.max_runs
 
+    def unanswered_parts(self) -> dict[str, str]:
+        """Return the unanswered parts, each with the servers that were tried."""
+        return {
+            part.service: ' '.join(sorted(part.tried)) or 'no server'
+            for part in self.parts
+            if not part.answered
+        }
+
     def due_hedges(self, now: float) -> list[Part]:
         """Return the parts whose answer is overdue and may be hedged."""
         return [part for part in self.parts if part.next_hedge_at <= now]
--- a/ibismount/quarantine.py
+++ b/ibismount/quarantine.py
@@ -130,9 +130,21 @@
         waves = len(self._implicating_waves(at, suspect))
         if waves <= self._min_waves(suspect) - self._options.min_waves:
             return RunMode.NORMAL
+        if waves > 1 and self._is_wave_open(at, suspect):
+            return RunMode.REFUSED
         suspect.canary = True
         return RunMode.CANARY
 
+    def time_left_s(self, now: float, fingerprint: str) -> float:
+        """Return how long a request is refused, in seconds."""
+        at = now + self._unix_offset
+        if self._is_quarantined(at, fingerprint):
+            return self._entries[fingerprint].expires_at - at
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.waves:
+            return 0
+        return max(0, suspect.waves[-1].at + self._options.wave_s - at)
+
     def lost_servers(self, fingerprint: str) -> tuple[str, ...]:
         """Return the servers lost while running a suspect request.
 
@@ -262,6 +274,13 @@
     def _expires_at(self, fingerprint: str) -> float:
         return self._entries[fingerprint].expires_at
 
+    def _is_wave_open(self, at: float, suspect: _Suspect) -> bool:
+        """Return whether a further loss now would prove nothing new.
+
+        After repeated losses a request is not sent for so little.
+        """
+        return at - suspect.waves[-1].at < self._options.wave_s
+
     def _is_quarantined(self, at: float, fingerprint: str) -> bool:
         entry = self._entries.get(fingerprint)
         return entry is not None and entry.expires_at > at
--- a/ibismount/request_job.py
+++ b/ibismount/request_job.py
@@ -184,14 +184,6 @@
                 self._try_send(part)
         self._apply_decision()
 
-    def unanswered_parts(self) -> dict[str, str]:
-        """Return the unanswered parts, each with the servers that were tried."""
-        return {
-            part.service: ' '.join(sorted(part.tried)) or 'no server'
-            for part in self.tracker.parts
-            if not part.answered
-        }
-
     def encode_for(self, server: Server) -> bytes:
         """Encode the request for a server, with the time that is left."""
         elapsed_s = self._dispatch.now() - self.started_at
@@ -231,6 +223,7 @@
         attempt, tracker = call.attempt, self.tracker
         if answer.is_conclusive:
             self._has_run = True
+            dispatch.crash_guard.release_canary(self.req.fingerprint, self)
             for part in self._order.release(attempt.part):
                 self._try_send(part)
         if answer.kind is AnswerKind.ANSWER:
@@ -320,6 +313,10 @@
         if not ranked or dispatch.is_quarantined(self.req):
             self._give_up(part)
             return False
+        if self._must_wait_for_canary(part):
+            self._pending_retries[part] = extra
+            self._timer_is_current = False
+            return False
         if extra and not dispatch.budget.try_withdraw(
             part.service, urgent=not part.open
         ):
@@ -343,6 +340,13 @@
             self._wait_for_server(part, extra=extra)
         return False
 
+    def _must_wait_for_canary(self, part: Part) -> bool:
+        """Return whether another request of the fingerprint is sent first."""
+        if not self._order.is_canary(part):
+            return False
+        crash_guard = self._dispatch.crash_guard
+        return not crash_guard.claim_canary(self.req.fingerprint, self)
+
     def _give_up(self, part: Part) -> None:
         self._leave_queue(part)
         self.tracker.exhaust(part)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -21,7 +21,7 @@
 CONTACT_S = 4.0
 
 
-def crash_on(harness, *paths):
+def crash_on(harness, *paths, down_s=DOWN_S):
     """Let requests with these paths crash every server that runs them."""
     ended = []
 
@@ -31,7 +31,7 @@
         if path not in paths:
             return 'answer'
         ended.append(server_id)
-        harness.pool.crash(server_id, DOWN_S)
+        harness.pool.crash(server_id, down_s)
         return 'broken'
 
     for server in harness.servers.values():
@@ -182,6 +182,38 @@
     run_on_virtual_time(main)
 
 
+def test_herd_of_a_request_that_began_to_end_servers_reaches_few():
+    """Tries that could prove nothing new ended a server each."""
+
+    async def main():
+        harness = DispatchHarness()
+        loop = asyncio.get_running_loop()
+        for _ in range(5):
+            await harness.submit_and_wait()
+        ended = crash_on(harness, b'/search/x', down_s=3)
+        end_at = loop.time() + 20
+        late_from = math.inf
+        late_tries = []
+
+        async def call(number):
+            nonlocal late_from
+            await asyncio.sleep(0.04 * number)
+            while loop.time() < end_at:
+                sent_at = loop.time()
+                req_id, _, fut = harness.submit()
+                await fut
+                if len(ended) >= 3:
+                    late_from = min(late_from, loop.time() + CONTACT_S)
+                if sent_at >= late_from and harness.runs_by_server(req_id):
+                    late_tries.append(req_id)
+                await asyncio.sleep(0.4)
+
+        await asyncio.gather(*map(call, range(9)))
+        assert len(late_tries) <= MAX_LATE_TRIES
+
+    run_on_virtual_time(main)
+
+
 def test_part_that_waited_is_not_sent_after_the_quarantine():
     """It was sent to the first server that had a free slot again."""
 
@@ -210,6 +242,29 @@
     run_on_virtual_time(main)
 
 
+def test_suspect_requests_are_sent_one_after_the_other():
+    """All that waited for a server to come back ended one each."""
+
+    async def main():
+        harness = DispatchHarness()
+        ended = crash_on(harness, b'/lookup/x')
+        make_suspect(harness, b'/lookup/x', 'lookup/z')
+        await asyncio.sleep(2)
+        outcomes = await asyncio.gather(
+            *(
+                harness.submit_and_wait(b'/lookup/x', deadline_ms=4000)
+                for _ in range(6)
+            )
+        )
+        assert len(ended) == 1
+        assert all(
+            outcome.code is not ErrorCode.DEADLINE_EXCEEDED
+            for outcome, _ in outcomes
+        )
+
+    run_on_virtual_time(main)
+
+
 def test_failures_of_servers_do_not_clear_a_request_that_ends_others():
     """A status 500 does not prove that the server ran the request."""
 
