--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -124,6 +124,16 @@
             for traffic in self.traffic.values()
         )
 
+    def freeze(self, name):
+        """Let a node send nothing more; its links stay open."""
+        peers = self.peers[name]
+        peers._tick_timer.cancel()
+        peers._socket.datagram_received = lambda data, address: None
+        for subscriber in peers.subscribers:
+            subscriber.send = lambda raw: None
+        peers.send_to_changes_subscribers = lambda raw: None
+        peers.broadcast_change = lambda change: None
+
     async def stop(self):
         for peers in self.peers.values():
             peers._tick_timer.cancel()
@@ -207,6 +217,27 @@
     run_test(main)
 
 
+def test_zone_learns_from_others_while_its_relay_and_the_sources_are_frozen():
+    """Nodes waited until each of them followed the store itself."""
+
+    async def main(fleet):
+        await fleet.start()
+        for name in ('a0', 'b0', 'c0'):
+            fleet.freeze(name)
+        await asyncio.sleep(0.1)
+        fleet.views['a1'].apply(make_route_table(7))
+        fleet.peers['a1']._feed.start()
+        await asyncio.sleep(2)
+        others = {
+            name: version
+            for name, version in versions(fleet).items()
+            if name not in {'a0', 'b0', 'c0'}
+        }
+        assert set(others.values()) == {7}
+
+    run_test(main)
+
+
 def test_node_that_starts_late_gets_the_whole_view():
     """A restarted node served nothing until the next change."""
 
