Share the backoff, and derive what the quarantine's backup stated again

Cause: the read of the whole change found the backoff of the change feed written again for the quarantine's backup, the length of a quarantine stated twice, the end of a wave computed in two places, and two page decoders of one shape with a lookup that had no other purpose than to fail.

Change: backoff_s, Quarantine.hold_s, _open_wave_s and _decode_each are the one place each. The log line of a failed comparison with the store no longer speaks of writing alone. Two comments of server selection and of a port are reworded. No decision changes.

--- a/ibismount/change_feed.py
+++ b/ibismount/change_feed.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 
+from ibismount.backoff import backoff_s
 from ibismount.errors import IbismountError
 from ibismount.fleet_state import FleetChange, ServerRemoved, ServersListed
 from ibismount.logs import part_logger
@@ -348,9 +349,12 @@
         return change
 
     def _backoff_s(self, failures: int) -> float:
-        backoff_s = self._options.initial_backoff_s * 2 ** min(failures - 1, 10)
-        backoff_s = min(backoff_s, self._options.max_backoff_s)
-        return backoff_s * (0.75 + 0.5 * self._rng.random())
+        return backoff_s(
+            failures,
+            initial_s=self._options.initial_backoff_s,
+            max_s=self._options.max_backoff_s,
+            rng=self._rng,
+        )
 
     def _record_contact(self) -> None:
         self._last_contact_at = self._now()
--- a/ibismount/planning.py
+++ b/ibismount/planning.py
@@ -35,7 +35,7 @@
 
 
 _NO_EXCLUSIONS = Exclusions()
-# A server of another zone is chosen when it has more than this many requests
+# A server of another zone is preferred when it has more than this many requests
 # fewer: traffic between zones costs latency, but a busy server costs more.
 _REMOTE_ZONE_PENALTY_REQUESTS = 2
 
--- a/ibismount/platform/store_pages.py
+++ b/ibismount/platform/store_pages.py
@@ -4,7 +4,8 @@
 itself: its content is `UNREADABLE`, and the others are used.
 """
 
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -21,6 +22,8 @@
     'decode_list',
 )
 
+_ElementT = TypeVar('_ElementT')
+
 # Content of an object that can't be decoded.
 UNREADABLE = object()
 
@@ -74,14 +77,10 @@
     try:
         return msgspec.json.decode(raw, type=ListPage)
     except _DECODE_ERRORS:
-        members = _split_page(raw, 'items')
+        members, items, revision = _split_page(raw, 'items')
     return ListPage(
-        [
-            stored
-            for stored in map(_decode_object, members['items'])
-            if stored is not None
-        ],
-        _decode(members['store-revision'], int),
+        _decode_each(items, _decode_object),
+        revision,
         _decode(members.get('has-more', b'false'), bool),
     )
 
@@ -95,30 +94,33 @@
     try:
         return msgspec.json.decode(raw, type=EventsPage)
     except _DECODE_ERRORS:
-        members = _split_page(raw, 'events')
-    return EventsPage(
-        [
-            event
-            for event in map(_decode_event, members['events'])
-            if event is not None
-        ],
-        _decode(members['store-revision'], int),
-    )
+        _, events, revision = _split_page(raw, 'events')
+    return EventsPage(_decode_each(events, _decode_event), revision)
 
 
 _DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 _SPLIT_ERRORS = (ValueError, *_DECODE_ERRORS)
 
 
-def _split_page(raw: bytes, list_key: str) -> dict[str, Any]:
-    """Return the members of a page, with its list split."""
+def _split_page(
+    raw: bytes, list_key: str
+) -> tuple[dict[str, bytes], list[bytes], int]:
+    """Return the members of a page, the elements of its list, its revision."""
     try:
-        members: dict[str, Any] = split_object(raw)
-        members[list_key] = split_array(members[list_key])
-        members['store-revision']  # noqa: WPS428
+        members = split_object(raw)
+        elements = split_array(members[list_key])
+        raw_revision = members['store-revision']
     except (KeyError, ValueError) as exc:
         raise PageError(f'no page of the store: {exc!r}') from exc
-    return members
+    return members, elements, _decode(raw_revision, int)
+
+
+def _decode_each(
+    elements: Iterable[bytes], decode: Callable[[bytes], _ElementT | None]
+) -> list[_ElementT]:
+    """Return the decoded elements without those that can't be read."""
+    decoded = map(decode, elements)
+    return [element for element in decoded if element is not None]
 
 
 def _decode(raw: bytes, document_type: type) -> Any:
--- a/ibismount/quarantine.py
+++ b/ibismount/quarantine.py
@@ -119,6 +119,11 @@
         """Return whether every request may run normally."""
         return not self._suspects and not self._entries
 
+    @property
+    def hold_s(self) -> float:
+        """Return the length of a quarantine, in seconds."""
+        return self._options.hold_s
+
     def run_mode(self, now: float, fingerprint: str) -> RunMode:
         """Return how the next attempt of a request may run."""
         at = now + self._unix_offset
@@ -130,7 +135,7 @@
         waves = len(self._implicating_waves(at, suspect))
         if waves <= self._min_waves(suspect) - self._options.min_waves:
             return RunMode.NORMAL
-        if waves > 1 and self._is_wave_open(at, suspect):
+        if waves > 1 and self._open_wave_s(at, suspect) > 0:
             return RunMode.REFUSED
         suspect.canary = True
         return RunMode.CANARY
@@ -141,9 +146,7 @@
         if self._is_quarantined(at, fingerprint):
             return self._entries[fingerprint].expires_at - at
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.waves:
-            return 0
-        return max(0, suspect.waves[-1].at + self._options.wave_s - at)
+        return max(0, self._open_wave_s(at, suspect)) if suspect else 0
 
     def lost_servers(self, fingerprint: str) -> tuple[str, ...]:
         """Return the servers lost while running a suspect request.
@@ -274,12 +277,15 @@
     def _expires_at(self, fingerprint: str) -> float:
         return self._entries[fingerprint].expires_at
 
-    def _is_wave_open(self, at: float, suspect: _Suspect) -> bool:
-        """Return whether a further loss now would prove nothing new.
+    def _open_wave_s(self, at: float, suspect: _Suspect) -> float:
+        """Return how long a further loss still counts with the last ones.
 
-        After repeated losses a request is not sent for so little.
+        After repeated losses, a request is refused for this time: its next loss
+        would be no further evidence.
         """
-        return at - suspect.waves[-1].at < self._options.wave_s
+        if not suspect.waves:
+            return 0
+        return suspect.waves[-1].at + self._options.wave_s - at
 
     def _is_quarantined(self, at: float, fingerprint: str) -> bool:
         entry = self._entries.get(fingerprint)
--- a/ibismount/quarantine_backup.py
+++ b/ibismount/quarantine_backup.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from ibismount.backoff import backoff_s
 from ibismount.errors import IbismountError
 from ibismount.logs import part_logger
 from ibismount.loss_report import QuarantineEntry
@@ -16,11 +17,9 @@
 
 log = part_logger('quarantine')
 
-# Pause after a failed call, in seconds; it doubles up to the longest one.
+# Pause after the first failed call, and the longest one, in seconds.
 _INITIAL_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 2.0
-# Entries that other writers made may claim any time.
-_MAX_HOLD_S = 600.0
 
 
 class QuarantineStore(abc.ABC):
@@ -109,8 +108,17 @@
                 await self._synchronize()
             except IbismountError as exc:
                 failures += 1
-                log.warning('quarantine not stored', extra={'reason': str(exc)})
-                await asyncio.sleep(self._backoff_s(failures))
+                log.warning(
+                    'quarantine not compared with the store',
+                    extra={'reason': str(exc)},
+                )
+                pause_s = backoff_s(
+                    failures,
+                    initial_s=_INITIAL_BACKOFF_S,
+                    max_s=_MAX_BACKOFF_S,
+                    rng=self._rng,
+                )
+                await asyncio.sleep(pause_s)
                 self._wakeup.set()
             else:
                 failures = 0
@@ -135,10 +143,12 @@
         stored = list(entries)
         self._stored.update(entry.fingerprint for entry in stored)
         now, unix_now = self._now(), self._unix_now()
+        # Entries that other writers made may claim any time.
+        max_s = self._quarantine.hold_s
         in_force = [
             dataclasses.replace(
                 entry,
-                expires_at=now + min(entry.expires_at - unix_now, _MAX_HOLD_S),
+                expires_at=now + min(entry.expires_at - unix_now, max_s),
             )
             for entry in stored
             if entry.expires_at > unix_now
@@ -153,7 +163,3 @@
     def _to_unix_time(self, entry: QuarantineEntry) -> QuarantineEntry:
         left_s = entry.expires_at - self._now()
         return dataclasses.replace(entry, expires_at=self._unix_now() + left_s)
-
-    def _backoff_s(self, failures: int) -> float:
-        backoff_s = _INITIAL_BACKOFF_S * 2 ** min(failures - 1, 10)
-        return min(backoff_s, _MAX_BACKOFF_S) * self._rng.uniform(0.75, 1.25)
--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -20,7 +20,7 @@
         """Forward to a loopback port; `start` starts to listen."""
         self.fault = ''
         self._target_port = port
-        # A free port is chosen by the first `start`.
+        # The first `start` binds a free port.
         self._port = 0
         self._server: asyncio.Server | None = None
         self._pairs: set[tuple[asyncio.StreamWriter, ...]] = set()
