Give crashing requests a test file, and state their bounds once

Cause: test_edge_processes had grown to 464 lines with two jobs, and the bounds of the platform stood in three test files and twice in the soak; killing and starting nodes at once was written for the tests and again for the soak.

Change: the tests of requests that crash servers with real processes are test_crashing_requests.py, run_test is shared (fleet_runner.py), the bounds come from standins/soak_checks.py with the reasons that stood beside them, and the soak uses EdgeFleet.restart_edges. Bounds, seeds, times and checks are the same values as before.

--- a/standins/edge_fleet.py
+++ b/standins/edge_fleet.py
@@ -13,7 +13,7 @@
 import os
 import pathlib
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 import httpx
 
@@ -232,16 +232,17 @@
         self._background_tasks.add(reader)
         reader.add_done_callback(self._background_tasks.discard)
 
-    async def restart_all_edges(self) -> None:
-        """Kill all edge processes at once, and start them again."""
-        for ip in self.ips:
+    async def restart_edges(self, ips: Sequence[str]) -> AsyncIterator[str]:
+        """Kill edge processes at once and start them again; yield the ready ones."""
+        for ip in ips:
             self.edges[ip].kill()
-        for ip in self.ips:
+        for ip in ips:
             await self.edges[ip].wait()
-        for ip in self.ips:
+        for ip in ips:
             await self.start_edge(ip)
-        for ip in self.ips:
+        for ip in ips:
             await self.wait_until_ready(ip)
+            yield ip
 
     async def _read_logs(
         self, ip: str, process: asyncio.subprocess.Process
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -29,6 +29,7 @@
 from standins.edge_fleet import COLD_RATE_PER_S, COLD_S, SHARDS, EdgeFleet
 from standins.shard_server import CRASH_SUFFIX, ShardServer
 from standins.soak_checks import (
+    CONTACT_S,
     NodeHistory,
     SentAttempt,
     check_crashes,
@@ -47,7 +48,6 @@
 # Share of the store's answers that are lost meanwhile. Nodes are up to date
 # again once no answer has been lost for `CONTACT_S`.
 LOST_ANSWER_SHARE = 0.35
-CONTACT_S = 4.0
 # A cold server may receive COLD_RATE_FACTOR times its rate plus
 # COLD_EXTRA_REQUESTS in a second, once all nodes have had COLD_PROPAGATION_S
 # to read its entry.
@@ -400,12 +400,7 @@
         self._faulty_ips.update(ips)
         for ip in ips:
             self._disturb(ip)
-            self._fleet.edges[ip].kill()
-        await asyncio.gather(*(self._fleet.edges[ip].wait() for ip in ips))
-        for ip in ips:
-            await self._fleet.start_edge(ip)
-        for ip in ips:
-            await self._fleet.wait_until_ready(ip)
+        async for ip in self._fleet.restart_edges(ips):
             self._disturb(ip)
             self._faulty_ips.discard(ip)
 
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -8,13 +8,18 @@
 
 __all__ = ('NodeHistory', 'SentAttempt', 'check_crashes', 'check_statements')
 
-# Bounds of the users' platform, in seconds.
+# Bounds of the users' platform. Nodes are up to date again after this time, in
+# seconds, without a fault of the store.
 CONTACT_S = 4.0
 DRAIN_TIMEOUT_S = 3.0
 # Time in which a node may not yet act on what it was told.
 REACTION_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# Once a request has ended three servers, and after `CONTACT_S` more, at most this
+# many further tries of it may reach servers.
 MAX_CRASH_RETRIES = 3
+# From `CONTACT_S` after a server first stated a limit, it may get this many times
+# what the limit allows, and this many requests more, in any window in seconds.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -11,14 +11,11 @@
 from ibismount.quarantine import RunMode
 from ibismount.quarantine_sharing import QuarantineSharing
 from ibismount.wire_format import OutcomeKind
+from standins.soak_checks import CONTACT_S, MAX_CRASH_RETRIES
 from tests.edge_fakes import SEARCH, SHARDS, DispatchHarness
 from tests.virtual_time import run_on_virtual_time
 
 DOWN_S = 1.5
-# Once a request has ended three servers, and `CONTACT_S` later, at most this many
-# further tries of it may end servers.
-MAX_LATE_TRIES = 3
-CONTACT_S = 4.0
 
 
 def crash_on(harness, *paths, down_s=DOWN_S):
@@ -209,7 +206,7 @@
                 await asyncio.sleep(0.4)
 
         await asyncio.gather(*map(call, range(9)))
-        assert len(late_tries) <= MAX_LATE_TRIES
+        assert len(late_tries) <= MAX_CRASH_RETRIES
 
     run_on_virtual_time(main)
 
@@ -283,7 +280,7 @@
             elif len(ended) >= 3:
                 late_from = min(late_from, sent_at + CONTACT_S)
             await asyncio.sleep(2)
-        assert late_tries <= MAX_LATE_TRIES
+        assert late_tries <= MAX_CRASH_RETRIES
 
     run_on_virtual_time(main)
 
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -6,35 +6,17 @@
 import subprocess
 import sys
 
-import httpx
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from standins.edge_fleet import CRASH_DOWN_S, ROOT, SHARDS, EdgeFleet
-
-# Nodes are up to date again after this time without a fault of the store.
-CONTACT_S = 4.0
-# Once a request has ended three servers, and after `CONTACT_S` more, at most this
-# many further tries of it may reach servers.
-MAX_LATE_TRIES = 3
-# From `CONTACT_S` after a server first stated a limit, it may get this many times
-# what the limit allows, and this many requests more, in any window.
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
-LIMIT_WINDOW_S = 4.0
-
-
-def run_test(tmp_path, main, *, crash_down_s=CRASH_DOWN_S, **options):
-    async def run_with_fleet():
-        fleet = EdgeFleet(tmp_path, crash_down_s=crash_down_s)
-        try:
-            await fleet.start(**options)
-            async with httpx.AsyncClient() as client:
-                await main(fleet, client)
-        finally:
-            await fleet.stop()
-
-    asyncio.run(asyncio.wait_for(run_with_fleet(), 60))
+from standins.edge_fleet import ROOT, SHARDS
+from standins.soak_checks import (
+    CONTACT_S,
+    LIMIT_FACTOR,
+    LIMIT_SLACK,
+    LIMIT_WINDOW_S,
+)
+from tests.fleet_runner import run_test
 
 
 def test_requests_reach_the_servers_and_are_answered(tmp_path):
@@ -354,123 +336,6 @@
     run_test(tmp_path, main)
 
 
-CRASHING_REQUESTS = pytest.mark.parametrize(
-    ('path', 'method'), [('/search/crash', 'GET'), ('/booking1/crash', 'POST')]
-)
-
-
-@CRASHING_REQUESTS
-def test_request_that_ended_servers_is_stopped_at_every_node(
-    tmp_path, path, method
-):
-    """A request that crashes servers must not crash more at each repeat."""
-
-    async def main(fleet, client):
-        repeats = CrashingRequest(fleet, client, path, method)
-        for _ in range(14):
-            await repeats.send()
-            await asyncio.sleep(0.8)
-        repeats.check_late_tries()
-
-    run_test(tmp_path, main)
-
-
-class CrashingRequest:
-    """A request that crashes servers, repeated at each node in turn."""
-
-    def __init__(self, fleet, client, path, method):
-        self.fleet = fleet
-        self.client = client
-        self.path = path
-        self.method = method
-        self.tries = []
-
-    async def send(self, ip=None):
-        ip = ip or self.fleet.ips[len(self.tries) % len(self.fleet.ips)]
-        sent_at = asyncio.get_running_loop().time()
-        request_id, _ = await self.fleet.send_new_request(
-            self.client, ip, self.path, self.method
-        )
-        self.tries.append((request_id, sent_at))
-
-    def check_late_tries(self):
-        late_from = self.fleet.crash_times()[2] + CONTACT_S
-        late = [name for name, at in self.tries if at >= late_from]
-        assert len(late) > MAX_LATE_TRIES
-        reached = [name for name in late if self.fleet.count_runs(name)]
-        assert len(reached) <= MAX_LATE_TRIES
-
-
-@CRASHING_REQUESTS
-def test_servers_that_restart_at_once_count_as_ended(tmp_path, path, method):
-    """A server that could be reached again 0.2 s later did not count."""
-
-    async def main(fleet, client):
-        repeats = CrashingRequest(fleet, client, path, method)
-        for _ in range(14):
-            await repeats.send()
-            await asyncio.sleep(0.8)
-        repeats.check_late_tries()
-
-    run_test(tmp_path, main, crash_down_s=0.1)
-
-
-@CRASHING_REQUESTS
-def test_quarantine_outlives_the_end_of_all_nodes(tmp_path, path, method):
-    """Each end of all nodes let a request crash servers three more times."""
-
-    async def main(fleet, client):
-        repeats = CrashingRequest(fleet, client, path, method)
-        for _ in range(3):
-            for _ in range(6):
-                await repeats.send()
-                await asyncio.sleep(0.8)
-            await fleet.restart_all_edges()
-        repeats.check_late_tries()
-
-    run_test(tmp_path, main)
-
-
-def test_immediate_repeats_at_other_nodes_reach_few_servers(tmp_path):
-    """All nodes knew of an end after 0.4 s; callers repeat sooner."""
-
-    async def main(fleet, client):
-        repeats = CrashingRequest(fleet, client, '/search/crash', 'GET')
-        await repeats.send()
-        await asyncio.sleep(CONTACT_S + 0.5)
-        for _ in range(20):
-            await repeats.send()
-            await asyncio.sleep(0.05)
-        repeats.check_late_tries()
-
-    run_test(tmp_path, main)
-
-
-@CRASHING_REQUESTS
-def test_herd_of_a_request_that_was_answered_before_reaches_few_servers(
-    tmp_path, path, method
-):
-    """Callers at several nodes sent it to each server that came back."""
-
-    async def main(fleet, client):
-        loop = asyncio.get_running_loop()
-        repeats = CrashingRequest(fleet, client, path, method)
-        for crashing in (False, True):
-            for server in fleet.servers:
-                server.withstands_crashes = not crashing
-            end_at = loop.time() + (14 if crashing else 1)
-
-            async def call(number, end_at=end_at):
-                while loop.time() < end_at:
-                    await repeats.send(fleet.ips[number % len(fleet.ips)])
-                    await asyncio.sleep(0.4)
-
-            await asyncio.gather(*map(call, range(9)))
-        repeats.check_late_tries()
-
-    run_test(tmp_path, main, crash_down_s=3)
-
-
 def most_in_a_window(times, window_s):
     """Return the greatest number of times in any window of this length."""
     return max(
