--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -74,6 +74,8 @@
         self.history = []
         self.changed = asyncio.Event()
         self.calls = collections.Counter()
+        # Connections whose watch waits for a change.
+        self.watching = set()
 
     async def start(self) -> None:
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -106,6 +108,13 @@
             self._event(kind, {**stored, 'meta': meta}, deleted=True)
         return time.monotonic()
 
+    def cut_watches(self) -> int:
+        """Cut the watches that wait; return how many there were."""
+        cut, self.watching = self.watching, set()
+        for writer in cut:
+            writer.transport.abort()
+        return len(cut)
+
     def _event(self, kind, stored, *, deleted) -> None:
         event = {'object': stored, 'deleted': deleted}
         self.history.append((self.revision, kind, event))
@@ -122,7 +131,10 @@
                     int(headers.get('content-length', 0))
                 )
                 method, target, _ = first.split(' ')
+                if 'watch=' in target:
+                    self.watching.add(writer)
                 status, answer = await self._answer(method, target, body)
+                self.watching.discard(writer)
                 writer.write(
                     encode(
                         status,
