--- a/review/9/case.py
+++ b/review/9/case.py
@@ -36,6 +36,10 @@
         if target != PATH:
             await super()._handle(method, target, headers, body, writer)
             return
+        if not self.server.is_serving():
+            # The replica has just ended under another request.
+            writer.transport.abort()
+            return
         request_id = headers['ibismount-request-id']
         self.fleet.crashes.append((time.monotonic(), request_id))
         self.fleet.record.note(f'crash    {request_id} at {self.id}')
