--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -30,8 +30,8 @@
 class Record:
     """Write ``record.txt``: what was sent, answered and run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open('w')
         self._start = time.monotonic()
 
     def note(self, text: str) -> None:
@@ -528,7 +528,8 @@
 
 def run_case(folder: str, play) -> None:
     """Run a case: exit 1 if the rule was broken, 0 if not, 2 if it can't run."""
-    record = Record(pathlib.Path(folder).resolve())
+    name = sys.argv[1] if len(sys.argv) > 1 else 'record.txt'
+    record = Record(pathlib.Path(folder).resolve() / name)
     trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def main() -> int:
